--- /dev/null
+++ b/cmd/jacinthpass-entry/main.go
@@ -0,0 +1,132 @@
+// Command jacinthpass-entry runs an entry instance on the Derwent platform.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"strconv"
+	"syscall"
+
+	"github.com/spf13/cobra"
+	"k8s.io/klog/v2"
+
+	"jacinthpass/io/jpentry"
+	"jacinthpass/platform"
+)
+
+func main() {
+	if err := newRoot().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "jacinthpass-entry:", err)
+		os.Exit(1)
+	}
+}
+
+func newRoot() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "jacinthpass-entry",
+		Short:         "Entry instance of the load balancer on the Derwent platform",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(newRun(), newCheck())
+	return root
+}
+
+func newRun() *cobra.Command {
+	var opts jpentry.Options
+	var verbosity int
+	cmd := &cobra.Command{
+		Use:   "run",
+		Short: "Run an entry instance with the settings that the platform names",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			path, err := platform.SettingsPath()
+			if err != nil {
+				return err
+			}
+			return run(cmd.Context(), path, opts, verbosity)
+		},
+	}
+	cmd.Flags().Uint16Var(&opts.MetricsPort, "metrics-port", 0, "port that serves metrics on the machine's address; 0 serves none")
+	cmd.Flags().IntVar(&opts.LogPerSecond, "log-lines", 200, "lines about packets in the log, at most, in each second")
+	cmd.Flags().IntVar(&verbosity, "verbosity", 0, "detail of the log, from 0")
+	return cmd
+}
+
+func newCheck() *cobra.Command {
+	return &cobra.Command{
+		Use:   "check FILE",
+		Short: "Check a settings file of the platform without starting",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			settings, err := platform.LoadSettings(args[0])
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "%s is valid: instance %s in %s\n", args[0], settings.ID, settings.DataCentre)
+			return nil
+		},
+	}
+}
+
+// run runs an instance until a termination signal, with its log on standard
+// output. A hangup reads the settings again.
+func run(ctx context.Context, path string, opts jpentry.Options, verbosity int) error {
+	ctx, cancel := signal.NotifyContext(orBackground(ctx), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	log := jpentry.NewLogWriter(os.Stdout)
+	defer log.Close()
+	if err := startLog(log, verbosity); err != nil {
+		return err
+	}
+	defer klog.Flush()
+	return jpentry.Run(ctx, platform.New(path), opts, hangups(ctx))
+}
+
+func orBackground(ctx context.Context) context.Context {
+	if ctx == nil {
+		return context.Background()
+	}
+	return ctx
+}
+
+// hangups passes on hangup signals until ctx ends. Signals that come while one
+// waits are one.
+func hangups(ctx context.Context) <-chan struct{} {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	reload := make(chan struct{}, 1)
+	go func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-signals:
+			}
+			select {
+			case reload <- struct{}{}:
+			default:
+			}
+		}
+	}()
+	return reload
+}
+
+// startLog sends klog's lines to the writer.
+func startLog(log *jpentry.LogWriter, verbosity int) error {
+	fs := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(fs)
+	for name, value := range map[string]string{
+		"logtostderr": "false", "alsologtostderr": "false", "stderrthreshold": "FATAL",
+		"one_output": "true", "v": strconv.Itoa(verbosity),
+	} {
+		if err := fs.Set(name, value); err != nil {
+			return fmt.Errorf("log: %w", err)
+		}
+	}
+	klog.SetOutput(log)
+	return nil
+}
--- /dev/null
+++ b/core/jpdispatch/dispatcher.go
@@ -0,0 +1,211 @@
+package jpdispatch
+
+import (
+	"net/netip"
+	"time"
+
+	"jacinthpass/core/jpdirectory"
+	"jacinthpass/core/jpflow"
+)
+
+const (
+	// maxFlows bounds the flow table. At 136 bytes a flow it takes 9 MB, under
+	// a tenth of the smallest instance's memory.
+	maxFlows = 64 << 10
+
+	// tagTime is how long the tag of a server that left the directory still
+	// leads to it. No flow is older than that on the platform.
+	tagTime = 60 * time.Second
+
+	// currentTime is how old the directory may be for a packet to be refused
+	// because a route is missing: a watch on the store ends at least every 2 s,
+	// and news takes up to 1 s from one instance to the next.
+	currentTime = 4 * time.Second
+)
+
+// FlowKey names a flow by its two ends.
+type FlowKey struct {
+	CallerAddr, RouteAddr [4]byte
+	CallerPort, RoutePort uint16
+}
+
+func keyOf(pk Packet) FlowKey {
+	return FlowKey{
+		CallerAddr: pk.Caller.Addr().As4(), CallerPort: pk.Caller.Port(),
+		RouteAddr: pk.Route.Addr().As4(), RoutePort: pk.Route.Port(),
+	}
+}
+
+func (fk FlowKey) caller() netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4(fk.CallerAddr), fk.CallerPort)
+}
+
+func (fk FlowKey) route() netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4(fk.RouteAddr), fk.RoutePort)
+}
+
+// Dispatcher holds what one instance knows of flows and servers. It is not safe
+// for concurrent use.
+type Dispatcher struct {
+	dataCentre string
+	instances  int // that may send to a cold server
+	known      bool
+	current    time.Time // moment at which the directory was up to date
+	steady     time.Time // since when the store has answered without a break
+	idle       time.Duration
+	routes     map[netip.AddrPort]*jpdirectory.Route
+	services   map[string]*service
+	servers    map[string]*server // by id
+	tags       map[uint32]*server // also of servers that left
+	out        map[string]bool    // data centres
+	flows      *jpflow.Table[FlowKey, flow]
+	strangers  map[uint32]time.Time // unknown tags: when they may be judged
+	lastTick   time.Time
+	evidence   time.Time // earlier observations of servers do not count
+}
+
+type service struct {
+	cfg     jpdirectory.Service
+	servers []*server
+}
+
+// New returns the dispatcher of an instance in a data centre.
+func New(dataCentre string) *Dispatcher {
+	return &Dispatcher{
+		dataCentre: dataCentre,
+		instances:  1,
+		routes:     map[netip.AddrPort]*jpdirectory.Route{},
+		services:   map[string]*service{},
+		servers:    map[string]*server{},
+		tags:       map[uint32]*server{},
+		out:        map[string]bool{},
+		flows:      jpflow.New[FlowKey, flow](maxFlows),
+		strangers:  map[uint32]time.Time{},
+	}
+}
+
+// Apply takes over changed records of the directory, in order of revision.
+func (ds *Dispatcher) Apply(now time.Time, records []jpdirectory.Record) {
+	for _, rc := range records {
+		switch rc.Key.Kind {
+		case jpdirectory.ManifestRecord:
+			ds.applyManifest(rc.Manifest)
+		case jpdirectory.ServerRecord:
+			ds.applyServer(now, rc.Key.Name, rc.Server)
+		case jpdirectory.DataCentreOutRecord:
+			ds.applyOut(now, rc.Key.Name, rc.DataCentreOut)
+		}
+	}
+	ds.group()
+}
+
+// SetCurrent notes how fresh the directory is: the moment at which it was up to
+// date, and since when that has been so without a break.
+func (ds *Dispatcher) SetCurrent(current, steady time.Time) {
+	ds.current, ds.steady = current, steady
+}
+
+// SetInstances sets the number of live instances, which share the new flows
+// that a cold server may get.
+func (ds *Dispatcher) SetInstances(count int) {
+	ds.instances = max(count, 1)
+}
+
+func (ds *Dispatcher) applyManifest(mf *jpdirectory.Manifest) {
+	if mf == nil {
+		return
+	}
+	ds.known = true
+	ds.idle = mf.IdleTimeout
+	clear(ds.routes)
+	for ix := range mf.Routes {
+		ds.routes[mf.Routes[ix].Address] = &mf.Routes[ix]
+	}
+	services := map[string]*service{}
+	for _, sc := range mf.Services {
+		services[sc.Name] = &service{cfg: sc}
+	}
+	ds.services = services
+}
+
+// applyOut notes that a data centre is out or back. Its servers come back cold.
+func (ds *Dispatcher) applyOut(now time.Time, name string, out bool) {
+	was := ds.out[name]
+	ds.out[name] = out
+	if !was || out {
+		return
+	}
+	for _, sr := range ds.servers {
+		if sr.cfg.DataCentre == name {
+			sr.returned = now
+		}
+	}
+}
+
+func (ds *Dispatcher) applyServer(now time.Time, id string, cfg *jpdirectory.Server) {
+	known := ds.servers[id]
+	if cfg == nil {
+		if known != nil {
+			known.leave(now)
+		}
+		return
+	}
+	if known != nil && known.cfg.Started.Equal(cfg.Started) && known.cfg.Address == cfg.Address {
+		known.cfg = *cfg
+		known.present = true
+		return
+	}
+	sr := newServer(*cfg)
+	if known != nil {
+		known.leave(now)
+	}
+	ds.servers[id] = sr
+	if other := ds.tags[sr.tag]; other == nil || !other.present || other.cfg.ID == id {
+		ds.tags[sr.tag] = sr
+	}
+	delete(ds.strangers, sr.tag)
+}
+
+// group assigns the present servers to their services.
+func (ds *Dispatcher) group() {
+	for _, sc := range ds.services {
+		sc.servers = sc.servers[:0]
+	}
+	for _, sr := range ds.servers {
+		sc := ds.services[sr.cfg.Service]
+		// A server whose tag another one has cannot take flows.
+		if sr.present && sc != nil && ds.tags[sr.tag] == sr {
+			sc.servers = append(sc.servers, sr)
+		}
+	}
+	for _, sc := range ds.services {
+		sortServers(sc.servers)
+	}
+}
+
+// endpoint returns how packets address a server.
+func (sr *server) endpoint() Endpoint {
+	return Endpoint{ID: sr.cfg.ID, Tag: sr.tag, Number: sr.cfg.Number, Address: sr.cfg.Address}
+}
+
+// Stats are sums over the flows and servers that an instance knows.
+type Stats struct {
+	Flows   int
+	Servers int
+	Silent  int // servers that answer nobody
+}
+
+// Stats returns the present sums.
+func (ds *Dispatcher) Stats() Stats {
+	stats := Stats{Flows: ds.flows.Len()}
+	for _, sr := range ds.servers {
+		if !sr.present {
+			continue
+		}
+		stats.Servers++
+		if sr.silent {
+			stats.Silent++
+		}
+	}
+	return stats
+}
--- /dev/null
+++ b/core/jpdispatch/handle.go
@@ -0,0 +1,220 @@
+package jpdispatch
+
+import (
+	"time"
+)
+
+// strangerTime is how long a tag may be unknown before its flows are reset: the
+// record of a new server takes up to 1 s to arrive, and entries that lapsed
+// while the store was away take 2 s to come back.
+const strangerTime = 4 * time.Second
+
+// Handle decides on a packet of a caller.
+func (ds *Dispatcher) Handle(now time.Time, pk Packet) Decision {
+	if !ds.known {
+		return Decision{Reason: NotReady}
+	}
+	if pk.Flags&SYN != 0 {
+		return ds.handleSYN(now, pk)
+	}
+	key := keyOf(pk)
+	fl := ds.flows.Get(key)
+	if ds.routes[pk.Route] == nil {
+		return ds.routeMissing(now, key, fl, pk)
+	}
+	if fl != nil && fl.state == dead {
+		return ds.late(now, fl, pk)
+	}
+	if pk.Flags&RST != 0 {
+		return ds.handleReset(key, fl, pk)
+	}
+	reason := Known
+	if fl == nil || fl.state == opening {
+		var dc Decision
+		if fl, dc = ds.openFlow(now, key, fl, pk); fl == nil {
+			return dc
+		}
+		reason = dc.Reason
+	}
+	return ds.forward(now, fl, pk, reason)
+}
+
+// routeMissing decides on a packet to an address without a route.
+func (ds *Dispatcher) routeMissing(now time.Time, key FlowKey, fl *flow, pk Packet) Decision {
+	reason := NoRoute
+	if fl != nil {
+		reason = RouteRemoved
+		ds.drop(key, fl)
+	}
+	if pk.Flags&RST != 0 || now.Sub(ds.current) > currentTime {
+		return Decision{Reason: reason}
+	}
+	return Decision{Outcome: Reset, Reason: reason, Reset: resetOf(pk, reason)}
+}
+
+// resetOf returns the reset of the flow of a packet.
+func resetOf(pk Packet, reason Reason) ResetPacket {
+	return ResetPacket{Caller: pk.Caller, Route: pk.Route, Sequence: pk.Ack, Reason: reason}
+}
+
+func (ds *Dispatcher) drop(key FlowKey, fl *flow) {
+	fl.deactivate()
+	ds.flows.Remove(key)
+}
+
+// handleReset passes on the end of a flow.
+func (ds *Dispatcher) handleReset(key FlowKey, fl *flow, pk Packet) Decision {
+	sr := ds.tags[pk.Tag]
+	if fl != nil {
+		sr = fl.server
+		ds.drop(key, fl)
+	}
+	if sr == nil {
+		return Decision{Reason: StrayReset}
+	}
+	return Decision{Outcome: Forward, Reason: Known, Server: sr.endpoint()}
+}
+
+// openFlow finds the server of a flow whose first packet after the handshake
+// comes here, or of which another instance has seen the earlier ones.
+func (ds *Dispatcher) openFlow(now time.Time, key FlowKey, fl *flow, pk Packet) (*flow, Decision) {
+	sr := ds.tags[pk.Tag]
+	if sr == nil && fl != nil && fl.server != nil && pk.Tag == 0 {
+		sr = fl.server
+	}
+	if sr == nil {
+		return nil, ds.stranger(now, pk)
+	}
+	reason := Tagged
+	if fl != nil {
+		reason = Known
+	} else {
+		var err error
+		if fl, err = ds.flows.Add(key); err != nil {
+			// The tag alone leads to the server; only the flow's record is lost.
+			return nil, Decision{Outcome: Forward, Reason: Tagged, Server: sr.endpoint()}
+		}
+	}
+	fl.assign(sr)
+	fl.state = open
+	if fl.tries > 0 {
+		sr.alive(now)
+	}
+	return fl, Decision{Reason: reason}
+}
+
+// stranger decides on a packet whose tag names no server.
+func (ds *Dispatcher) stranger(now time.Time, pk Packet) Decision {
+	judgeAt, ok := ds.strangers[pk.Tag]
+	if !ok {
+		if len(ds.strangers) >= maxStrangers {
+			return Decision{Reason: UnknownTag}
+		}
+		judgeAt = now.Add(strangerTime)
+		ds.strangers[pk.Tag] = judgeAt
+	}
+	if now.Before(judgeAt) || !ds.trusted(now) {
+		return Decision{Reason: UnknownTag}
+	}
+	return Decision{Outcome: Reset, Reason: UnknownTag, Reset: resetOf(pk, UnknownTag)}
+}
+
+// maxStrangers bounds the unknown tags that are remembered; forged packets can
+// carry any.
+const maxStrangers = 4096
+
+// trusted tells whether a server that the directory does not have is gone: the
+// store has answered long enough for lapsed entries to come back.
+func (ds *Dispatcher) trusted(now time.Time) bool {
+	return now.Sub(ds.current) <= currentTime && now.Sub(ds.steady) >= strangerTime
+}
+
+// forward sends a packet of an open flow to its server.
+func (ds *Dispatcher) forward(now time.Time, fl *flow, pk Packet, reason Reason) Decision {
+	sr := fl.server
+	ds.observe(now, fl, pk)
+	if !sr.present && ds.gone(now, sr) {
+		return ds.end(now, fl, pk, ServerGone)
+	}
+	if sr.silent && fl.counted && fl.epoch == sr.epoch {
+		return ds.end(now, fl, pk, ServerSilent)
+	}
+	fl.seenAt = now
+	if pk.Flags&FIN != 0 {
+		fl.state = closing
+	}
+	if fl.state == closing {
+		fl.deactivate()
+	} else {
+		fl.activate()
+	}
+	return Decision{Outcome: Forward, Reason: reason, Server: sr.endpoint()}
+}
+
+// end resets a flow whose server cannot answer any more.
+func (ds *Dispatcher) end(now time.Time, fl *flow, pk Packet, reason Reason) Decision {
+	fl.deactivate()
+	fl.state = dead
+	rs := resetOf(pk, reason)
+	rs.Server = fl.server.cfg.ID
+	fl.seenAt = now
+	return Decision{Outcome: Reset, Reason: reason, Reset: rs}
+}
+
+// late decides on a packet of a flow that was reset here.
+func (ds *Dispatcher) late(now time.Time, fl *flow, pk Packet) Decision {
+	if pk.Flags&RST != 0 {
+		return Decision{Reason: Late}
+	}
+	return ds.end(now, fl, pk, Late)
+}
+
+// gone tells whether a server that left the directory cannot come back.
+func (ds *Dispatcher) gone(now time.Time, sr *server) bool {
+	if now.Sub(sr.leftAt) >= tagTime {
+		return true
+	}
+	return ds.trusted(now) && now.Sub(sr.leftAt) >= strangerTime
+}
+
+// observe judges the server by what its caller sends: an acknowledgement that
+// advances is a sign of life, a repeated packet is a missing one.
+func (ds *Dispatcher) observe(now time.Time, fl *flow, pk Packet) {
+	sr := fl.server
+	advanced := pk.Flags&ACK != 0 && int32(pk.Ack-fl.ack) > 0
+	if advanced {
+		if fl.ack != 0 {
+			sr.alive(now)
+		}
+		fl.ack = pk.Ack
+		fl.waiting = false
+	}
+	if pk.Length == 0 {
+		return
+	}
+	end := pk.Sequence + uint32(pk.Length)
+	switch {
+	case !fl.waiting:
+		fl.waiting, fl.pending, fl.sentAt = true, end, now
+	case int32(end-fl.pending) > 0:
+		fl.pending = end
+	case ds.fair(now, fl.sentAt):
+		fl.unanswered()
+		ds.judge(now, sr)
+	}
+}
+
+// fair tells whether a packet sent at a moment has had the time to be answered,
+// and this instance has not stood still meanwhile.
+func (ds *Dispatcher) fair(now, sentAt time.Time) bool {
+	return now.Sub(sentAt) >= answerTime && sentAt.After(ds.evidence)
+}
+
+// judge marks a server that answers nobody.
+func (ds *Dispatcher) judge(now time.Time, sr *server) {
+	if sr.unanswered < silentFlows || now.Sub(sr.aliveAt) < answerTime || sr.silent {
+		return
+	}
+	sr.silent = true
+	sr.tried = now
+}
--- /dev/null
+++ b/core/jpdispatch/place.go
@@ -0,0 +1,193 @@
+package jpdispatch
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"jacinthpass/core/jpdirectory"
+)
+
+// remoteFlows is the lead in flows a slot that a server of another data centre
+// needs: its answers cost a round trip and traffic between data centres.
+const remoteFlows = 15
+
+// coldShare is the share of a cold server's allowance that the instances use
+// together; the rest covers instances that do not know of each other.
+const coldShare = 0.5
+
+// handleSYN places a new flow, or one whose earlier SYN was not answered.
+func (ds *Dispatcher) handleSYN(now time.Time, pk Packet) Decision {
+	rt := ds.routes[pk.Route]
+	if rt == nil {
+		return ds.noRoute(now, pk)
+	}
+	key := keyOf(pk)
+	fl := ds.flows.Get(key)
+	if fl != nil && fl.sequence != pk.Sequence {
+		ds.drop(key, fl) // the caller uses the port again
+		fl = nil
+	}
+	if fl != nil && fl.state != opening {
+		return Decision{Outcome: Forward, Reason: Known, Server: fl.server.endpoint()}
+	}
+	if fl != nil && !ds.fair(now, fl.sentAt) {
+		return Decision{Outcome: Forward, Reason: Known, Server: fl.server.endpoint()}
+	}
+	reason := Placed
+	if fl != nil {
+		reason = Moved
+		fl.server.avoidUntil = now.Add(avoidTime)
+		fl.unanswered()
+		ds.judge(now, fl.server)
+	}
+	sr, choices := ds.choose(now, rt, pk, fl)
+	if sr == nil {
+		return ds.noServer(fl, pk)
+	}
+	if fl == nil {
+		added, err := ds.flows.Add(key)
+		if err != nil {
+			return Decision{Outcome: Forward, Reason: reason, Server: sr.endpoint(), Choices: choices}
+		}
+		fl = added
+		fl.downloads = rt.Kind == jpdirectory.Download
+	}
+	fl.assign(sr)
+	fl.try(sr)
+	fl.sequence, fl.sentAt, fl.seenAt = pk.Sequence, now, now
+	fl.activate()
+	return Decision{Outcome: Forward, Reason: reason, Server: sr.endpoint(), Load: sr.load(now), Choices: choices}
+}
+
+// noRoute refuses a flow to an address without a route. While the directory may
+// lack a new route, the packet is dropped instead.
+func (ds *Dispatcher) noRoute(now time.Time, pk Packet) Decision {
+	if now.Sub(ds.current) > currentTime {
+		return Decision{Reason: NoRoute}
+	}
+	return Decision{Outcome: Refuse, Reason: NoRoute, Reset: resetOf(pk, NoRoute)}
+}
+
+// noServer refuses a flow that no server can take. A flow whose SYN has reached
+// a server may still open there.
+func (ds *Dispatcher) noServer(fl *flow, pk Packet) Decision {
+	if fl != nil {
+		return Decision{Outcome: Forward, Reason: Known, Server: fl.server.endpoint()}
+	}
+	return Decision{Outcome: Refuse, Reason: NoServer, Reset: resetOf(pk, NoServer)}
+}
+
+// choose selects the server for a new flow: the one with the fewest active
+// flows a slot among those that can take it.
+func (ds *Dispatcher) choose(now time.Time, rt *jpdirectory.Route, pk Packet, fl *flow) (*server, int) {
+	sc := ds.services[pickTarget(rt, pk)]
+	if sc == nil {
+		return nil, 0
+	}
+	for _, tier := range []func(time.Time, *service, *server) bool{ds.fit, ds.coldFit, ds.suspect} {
+		if sr, choices := ds.best(now, sc, pk, fl, tier); sr != nil {
+			return sr, choices
+		}
+	}
+	return nil, 0
+}
+
+func (ds *Dispatcher) best(now time.Time, sc *service, pk Packet, fl *flow, takes func(time.Time, *service, *server) bool) (*server, int) {
+	var best *server
+	lowest, choices := math.Inf(1), 0
+	var tie uint64
+	for _, sr := range sc.servers {
+		if !ds.eligible(sc, sr) || fl != nil && fl.hasTried(sr.tag) || !takes(now, sc, sr) {
+			continue
+		}
+		choices++
+		score := float64(sr.load(now)) / float64(max(sr.cfg.Slots, 1))
+		if sr.cfg.DataCentre != ds.dataCentre {
+			score += remoteFlows
+		}
+		rank := rankOf(pk, sr)
+		if score < lowest || score == lowest && rank > tie {
+			best, lowest, tie = sr, score, rank
+		}
+	}
+	if best != nil && best.cold(now, sc) {
+		best.coldNext = now.Add(ds.coldGap(sc))
+	}
+	return best, choices
+}
+
+// eligible tells whether a server may get new flows at all.
+func (ds *Dispatcher) eligible(sc *service, sr *server) bool {
+	return !sr.cfg.Draining && !ds.out[sr.cfg.DataCentre] && sr.flows < sc.cfg.MaxFlows
+}
+
+// fit tells whether a server is warm and answers.
+func (ds *Dispatcher) fit(now time.Time, sc *service, sr *server) bool {
+	return !sr.cold(now, sc) && !ds.doubtful(now, sr)
+}
+
+func (ds *Dispatcher) doubtful(now time.Time, sr *server) bool {
+	return sr.silent && now.Before(sr.tried.Add(retryTime)) || now.Before(sr.avoidUntil)
+}
+
+// coldFit tells whether a cold server may get a flow from this instance now.
+func (ds *Dispatcher) coldFit(now time.Time, sc *service, sr *server) bool {
+	return sr.cold(now, sc) && !ds.doubtful(now, sr) && !now.Before(sr.coldNext)
+}
+
+// suspect tells whether a warm server might answer again.
+func (ds *Dispatcher) suspect(now time.Time, sc *service, sr *server) bool {
+	return !sr.cold(now, sc)
+}
+
+// minColdPerSecond is what any cold server bears, in new flows a second.
+const minColdPerSecond = 1
+
+// coldGap is the time between two flows of this instance to a cold server. The
+// allowance is divided among all instances, because they cannot always hear
+// each other.
+func (ds *Dispatcher) coldGap(sc *service) time.Duration {
+	perSecond := max(sc.cfg.ColdPerSecond*coldShare, minColdPerSecond)
+	return time.Duration(float64(ds.instances) / perSecond * float64(time.Second))
+}
+
+// pickTarget selects the service by weight. Copies of a SYN get the same one.
+func pickTarget(rt *jpdirectory.Route, pk Packet) string {
+	total := 0
+	for _, tg := range rt.Targets {
+		total += max(tg.Weight, 0)
+	}
+	if total == 0 {
+		return ""
+	}
+	at := int(flowHash(pk, 0) % uint64(total))
+	for _, tg := range rt.Targets {
+		if at -= max(tg.Weight, 0); at < 0 {
+			return tg.Service
+		}
+	}
+	return ""
+}
+
+// rankOf breaks ties between equal servers differently for each flow.
+func rankOf(pk Packet, sr *server) uint64 { return flowHash(pk, sr.tag) }
+
+func flowHash(pk Packet, salt uint32) uint64 {
+	var text [16]byte
+	caller := pk.Caller.Addr().As4()
+	copy(text[:4], caller[:])
+	put16(text[4:], pk.Caller.Port())
+	put16(text[6:], pk.Route.Port())
+	put32(text[8:], pk.Sequence)
+	put32(text[12:], salt)
+	return xxhash.Sum64(text[:])
+}
+
+func put16(to []byte, value uint16) { to[0], to[1] = byte(value), byte(value>>8) }
+
+func put32(to []byte, value uint32) {
+	put16(to, uint16(value))
+	put16(to[2:], uint16(value>>16))
+}
--- /dev/null
+++ b/core/jpdispatch/server.go
@@ -0,0 +1,142 @@
+package jpdispatch
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"jacinthpass/core/jpdirectory"
+)
+
+const (
+	// silentFlows flows without an answer, and no sign of life from any other,
+	// mark a server silent. A single lost packet explains one, seldom two.
+	silentFlows = 3
+
+	// answerTime is how long a packet waits for its answer before a repetition
+	// of it counts: callers repeat after 200 ms.
+	answerTime = 150 * time.Millisecond
+
+	// avoidTime is how long a server that gave no answer to a SYN is left to
+	// other flows, before it is tried again.
+	avoidTime = time.Second
+
+	// retryTime is how long a silent server is avoided before a new flow tries
+	// it again: three intervals of the servers' heartbeats.
+	retryTime = 3 * time.Second
+
+	// loadTime is how long a load that a peer told counts: three of its
+	// intervals.
+	loadTime = 1500 * time.Millisecond
+)
+
+// server is what this instance knows of one backend server.
+type server struct {
+	cfg      jpdirectory.Server
+	tag      uint32
+	present  bool
+	leftAt   time.Time // when it left the directory
+	returned time.Time // when its data centre came back
+	flows    int       // active flows of this instance
+	peers    map[string]peerLoad
+
+	epoch      uint32    // changes with each sign of life
+	unanswered int       // flows that repeat packets since the last sign of life
+	aliveAt    time.Time // last sign of life
+	avoidUntil time.Time
+	silent     bool // flows are reset, new ones go elsewhere
+	tried      time.Time
+	coldNext   time.Time // when it may get the next flow while it is cold
+}
+
+type peerLoad struct {
+	flows int
+	until time.Time
+}
+
+func newServer(cfg jpdirectory.Server) *server {
+	return &server{cfg: cfg, tag: tagOf(cfg.Number), present: true, peers: map[string]peerLoad{}}
+}
+
+// tagOf returns the tag of a server. Numbers that fit are their own tags, so
+// that all instances agree without a word between them.
+func tagOf(number uint64) uint32 {
+	if number <= math.MaxUint32 {
+		return uint32(number)
+	}
+	var text [8]byte
+	for ix := range text {
+		text[ix] = byte(number >> (8 * ix))
+	}
+	return uint32(xxhash.Sum64(text[:]))
+}
+
+func sortServers(list []*server) {
+	slices.SortFunc(list, func(a, b *server) int { return cmp.Compare(a.cfg.ID, b.cfg.ID) })
+}
+
+func (sr *server) leave(now time.Time) {
+	if sr.present {
+		sr.present = false
+		sr.leftAt = now
+	}
+}
+
+// alive notes a sign of life.
+func (sr *server) alive(now time.Time) {
+	sr.aliveAt = now
+	sr.silent = false
+	sr.avoidUntil = time.Time{}
+	if sr.unanswered > 0 {
+		sr.unanswered = 0
+		sr.epoch++
+	}
+}
+
+// load returns the flows of the server that this instance and its peers know.
+func (sr *server) load(now time.Time) int {
+	sum := sr.flows
+	for peer, ld := range sr.peers {
+		if !now.Before(ld.until) {
+			delete(sr.peers, peer)
+			continue
+		}
+		sum += ld.flows
+	}
+	return sum
+}
+
+// cold tells whether the server bears only a little.
+func (sr *server) cold(now time.Time, sc *service) bool {
+	return now.Before(sr.cfg.WarmAt) || now.Before(sr.returned.Add(sc.cfg.ColdTime))
+}
+
+// Load is the number of active flows of a server at one instance.
+type Load struct {
+	Server string // id
+	Flows  int
+}
+
+// Loads returns the loads of the servers for peers.
+func (ds *Dispatcher) Loads() []Load {
+	var list []Load
+	for _, sr := range ds.servers {
+		if sr.present && sr.flows > 0 {
+			list = append(list, Load{Server: sr.cfg.ID, Flows: sr.flows})
+		}
+	}
+	slices.SortFunc(list, func(a, b Load) int { return cmp.Compare(a.Server, b.Server) })
+	return list
+}
+
+// HandleLoads takes over the loads that a peer told.
+func (ds *Dispatcher) HandleLoads(now time.Time, peer string, loads []Load) {
+	for _, ld := range loads {
+		if sr := ds.servers[ld.Server]; sr != nil {
+			sr.peers[peer] = peerLoad{flows: ld.Flows, until: now.Add(loadTime)}
+		}
+	}
+}
--- /dev/null
+++ b/core/jpdispatch/tick.go
@@ -0,0 +1,105 @@
+package jpdispatch
+
+import "time"
+
+const (
+	// pauseTime between two ticks means that the process stood still, so that
+	// packets and answers may have waited in its sockets.
+	pauseTime = 300 * time.Millisecond
+
+	// sweepCount flows are looked at in each tick: all of 4,000 flows within a
+	// second of ten ticks.
+	sweepCount = 400
+
+	// keepTime is how long a quiet flow is remembered. Callers may be quiet for
+	// the idle timeout, after which either end may discard the flow.
+	keepTime = 20 * time.Second
+)
+
+// Tick expires what is old and returns the resets of flows whose servers are
+// gone. It is called ten times a second.
+func (ds *Dispatcher) Tick(now time.Time) []ResetPacket {
+	if now.Sub(ds.lastTick) > pauseTime {
+		ds.Pause(now)
+	}
+	ds.lastTick = now
+	ds.forget(now)
+	var resets []ResetPacket
+	ds.flows.Sweep(sweepCount, func(key FlowKey, fl *flow) bool {
+		if rs, ended := ds.ended(now, key, fl); ended {
+			resets = append(resets, rs)
+		}
+		return ds.keep(now, fl)
+	})
+	return resets
+}
+
+// Pause notes that packets may have waited until now, so that what was sent
+// before does not count against servers.
+func (ds *Dispatcher) Pause(now time.Time) {
+	ds.evidence = now
+	for _, sr := range ds.servers {
+		sr.unanswered = 0
+		sr.epoch++
+	}
+}
+
+// ended returns the reset of a quiet flow whose server is gone, so that the
+// caller's next request opens a new one instead of waiting in vain.
+func (ds *Dispatcher) ended(now time.Time, key FlowKey, fl *flow) (ResetPacket, bool) {
+	sr := fl.server
+	if fl.state != open || sr == nil {
+		return ResetPacket{}, false
+	}
+	reason := ServerGone
+	switch {
+	case !sr.present && ds.gone(now, sr):
+	case sr.silent:
+		reason = ServerSilent
+	default:
+		return ResetPacket{}, false
+	}
+	rs := ResetPacket{
+		Caller: key.caller(), Route: key.route(), Sequence: fl.ack,
+		Reason: reason, Server: sr.cfg.ID, Idle: now.Sub(fl.seenAt),
+	}
+	fl.deactivate()
+	fl.state = dead
+	fl.seenAt = now
+	return rs, true
+}
+
+// keep tells whether a flow is still worth its entry.
+func (ds *Dispatcher) keep(now time.Time, fl *flow) bool {
+	quiet := now.Sub(fl.seenAt)
+	limit := max(keepTime, ds.idle)
+	switch fl.state {
+	case opening, closing:
+		limit = openTime
+	case dead:
+		limit = deadTime
+	}
+	if quiet >= activeTime || quiet >= limit {
+		fl.deactivate()
+	}
+	return quiet < limit
+}
+
+// forget drops servers that left long ago and tags that nobody uses any more.
+func (ds *Dispatcher) forget(now time.Time) {
+	for id, sr := range ds.servers {
+		if !sr.present && now.Sub(sr.leftAt) >= tagTime {
+			delete(ds.servers, id)
+		}
+	}
+	for tag, sr := range ds.tags {
+		if !sr.present && now.Sub(sr.leftAt) >= tagTime {
+			delete(ds.tags, tag)
+		}
+	}
+	for tag, judgeAt := range ds.strangers {
+		if now.Sub(judgeAt) >= tagTime {
+			delete(ds.strangers, tag)
+		}
+	}
+}
--- /dev/null
+++ b/io/jpentry/control.go
@@ -0,0 +1,302 @@
+package jpentry
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"jacinthpass/core/jpdirectory"
+	"jacinthpass/core/jpdispatch"
+	"jacinthpass/core/jpmember"
+	"jacinthpass/io/jppeer"
+)
+
+const (
+	// tellInterval separates statuses to peers without a change.
+	tellInterval = 500 * time.Millisecond
+
+	// askInterval separates requests for changes, to any peer: an answer takes
+	// 2 ms, or much longer from an instance without processor time.
+	askInterval = 300 * time.Millisecond
+
+	// statusTime is how long a peer's status counts: three intervals.
+	statusTime = 3 * tellInterval
+)
+
+// runTicks does what is due at intervals.
+func (en *Entry) runTicks(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			en.tick(time.Now())
+		}
+	}
+}
+
+func (en *Entry) tick(now time.Time) {
+	en.mu.Lock()
+	en.refreshCurrent(now)
+	resets := en.dispatch.Tick(now)
+	due := en.group.Tick(now)
+	view, changed := en.group.View()
+	if changed {
+		en.applyView(view)
+	}
+	status, tell := en.statusDue(now)
+	neighbours := en.group.Neighbours()
+	stats := en.dispatch.Stats()
+	revision := en.directory.Revision()
+	en.mu.Unlock()
+
+	for _, rs := range resets {
+		en.logReset(rs)
+		en.sendReset(rs)
+	}
+	if changed {
+		en.connect(neighbours)
+	}
+	for _, ad := range due {
+		en.tellPeer(ad.To, jppeer.Heartbeat{Member: ad.Heartbeat})
+	}
+	if tell {
+		for _, mb := range neighbours {
+			en.tellPeer(mb.ID, status)
+		}
+	}
+	en.metrics.setState(stats, revision, en.store.Load().Calls())
+}
+
+func (en *Entry) tellPeer(id string, msg any) {
+	if err := en.peers.Send(id, msg); err != nil {
+		klog.V(2).InfoS("peer: message was not sent", "peer", id, "err", err)
+	}
+}
+
+func (en *Entry) logReset(rs jpdispatch.ResetPacket) {
+	en.metrics.reasons[rs.Reason].Add(1)
+	if !en.budget.take(time.Now()) {
+		return
+	}
+	klog.InfoS("dispatch: "+rs.Reason.String(), "outcome", "reset", "caller", rs.Caller, "route", rs.Route,
+		"server", rs.Server, "idle_ms", rs.Idle.Milliseconds())
+}
+
+// applyView takes over a changed view of the instances. The caller holds mu.
+func (en *Entry) applyView(view jpmember.View) {
+	before := map[string]jpmember.State{}
+	for _, mb := range en.view.Members {
+		before[mb.ID] = mb.State
+	}
+	for _, mb := range view.Members {
+		if state, known := before[mb.ID]; !known || state != mb.State {
+			klog.InfoS("member: state", "instance", mb.ID, "data_centre", mb.DataCentre, "state", stateName(mb.State))
+			en.addEvent("member", "member_"+stateName(mb.State), mb.ID, "")
+		}
+	}
+	en.view = view
+	en.dispatch.SetInstances(len(view.Alive()))
+}
+
+var stateNames = []string{
+	jpmember.Unknown: "unknown", jpmember.Alive: "alive", jpmember.Leaving: "leaving", jpmember.Dead: "dead",
+}
+
+func stateName(st jpmember.State) string { return stateNames[st] }
+
+// connect keeps connections to the neighbours.
+func (en *Entry) connect(neighbours []jpmember.Member) {
+	peers := make([]jppeer.Peer, 0, len(neighbours))
+	for _, mb := range neighbours {
+		peers = append(peers, jppeer.Peer{ID: mb.ID, Address: en.peerAddress(mb)})
+	}
+	en.peers.SetPeers(peers)
+}
+
+// peerAddress returns where an instance is reached. Its id is its address, and
+// ports are the same everywhere.
+func (en *Entry) peerAddress(mb jpmember.Member) netip.AddrPort {
+	if mb.Addresses.Peer.IsValid() {
+		return mb.Addresses.Peer
+	}
+	addr, err := netip.ParseAddr(mb.ID)
+	if err != nil {
+		return netip.AddrPort{}
+	}
+	return netip.AddrPortFrom(addr, en.settings.Peer.Port())
+}
+
+// listInstances hands the known instances to the membership. The caller holds
+// mu.
+func (en *Entry) listInstances(now time.Time) {
+	var rows []jpmember.Listed
+	listed := map[string]bool{}
+	for _, in := range en.directory.Instances() {
+		listed[in.ID] = true
+		rows = append(rows, jpmember.Listed{
+			ID: in.ID, DataCentre: in.DataCentre, Addresses: jpmember.Addresses{Peer: in.Peer},
+		})
+	}
+	for _, seed := range en.settings.Seeds {
+		if id := seed.Addr().String(); !listed[id] {
+			rows = append(rows, jpmember.Listed{ID: id, Addresses: jpmember.Addresses{Peer: seed}})
+		}
+	}
+	en.group.HandleList(now, rows)
+}
+
+// statusDue returns the status for peers if it is due. The caller holds mu.
+func (en *Entry) statusDue(now time.Time) (jppeer.DirectoryStatus, bool) {
+	revision := en.directory.Revision()
+	if now.Before(en.nextTell) && revision == en.told {
+		return jppeer.DirectoryStatus{}, false
+	}
+	en.nextTell, en.told = now.Add(tellInterval), revision
+	return jppeer.DirectoryStatus{
+		Revision: revision,
+		Age:      max(now.Sub(en.directory.Current()), 0),
+		Steady:   max(now.Sub(en.steady(now)), 0),
+		Loads:    en.dispatch.Loads(),
+	}, true
+}
+
+// steady returns since when the store has answered without a break: to this
+// instance, or else to the peer that knows best. The caller holds mu.
+func (en *Entry) steady(now time.Time) time.Time {
+	if !en.contact.steady.IsZero() && now.Sub(en.contact.last) < watchWait+statusTime {
+		return en.contact.steady
+	}
+	best := now
+	for _, ps := range en.statuses {
+		if now.Sub(ps.at) < statusTime && ps.steady.Before(best) {
+			best = ps.steady
+		}
+	}
+	return best
+}
+
+func (en *Entry) refreshCurrent(now time.Time) {
+	en.dispatch.SetCurrent(en.directory.Current(), en.steady(now))
+}
+
+// handleMessage takes in a message of a peer.
+func (en *Entry) handleMessage(from string, msg any) {
+	now := time.Now()
+	switch ms := msg.(type) {
+	case jppeer.Heartbeat:
+		en.mu.Lock()
+		en.group.HandleHeartbeat(now, ms.Member)
+		en.mu.Unlock()
+	case jppeer.DirectoryStatus:
+		en.handleStatus(now, from, ms)
+	case jppeer.DirectoryRequest:
+		en.mu.Lock()
+		update := en.directory.Since(ms.Revision)
+		en.mu.Unlock()
+		en.tellPeer(from, jppeer.DirectoryUpdate{From: ms.Revision, Update: update, Sent: now})
+	case jppeer.DirectoryUpdate:
+		en.handleUpdate(now, from, ms)
+	case jppeer.EventsRequest:
+		en.mu.Lock()
+		events := en.events.Since(ms.Since)
+		en.mu.Unlock()
+		en.tellPeer(from, jppeer.Events{ID: ms.ID, Events: events})
+	}
+}
+
+func (en *Entry) handleStatus(now time.Time, from string, ds jppeer.DirectoryStatus) {
+	en.mu.Lock()
+	en.statuses[from] = peerStatus{
+		revision: ds.Revision, current: now.Add(-ds.Age), steady: now.Add(-ds.Steady), at: now,
+	}
+	en.dispatch.HandleLoads(now, from, ds.Loads)
+	en.directory.Confirm(ds.Revision, now.Add(-ds.Age))
+	revision := en.directory.Revision()
+	ask := ds.Revision > revision && !now.Before(en.nextAsk)
+	if ask {
+		en.nextAsk = now.Add(askInterval)
+	}
+	en.mu.Unlock()
+	if ask {
+		en.tellPeer(from, jppeer.DirectoryRequest{Revision: revision})
+	}
+}
+
+// askSoon asks a peer that knows more, because a packet came that the directory
+// cannot explain.
+func (en *Entry) askSoon(now time.Time) {
+	en.mu.Lock()
+	revision := en.directory.Revision()
+	peer := ""
+	if !now.Before(en.nextAsk) {
+		for id, ps := range en.statuses {
+			if ps.revision > revision {
+				peer = id
+			}
+		}
+	}
+	if peer != "" {
+		en.nextAsk = now.Add(askInterval)
+	}
+	en.mu.Unlock()
+	if peer != "" {
+		en.tellPeer(peer, jppeer.DirectoryRequest{Revision: revision})
+	}
+}
+
+func (en *Entry) handleUpdate(now time.Time, from string, du jppeer.DirectoryUpdate) {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	if !du.Update.Full && du.From > en.directory.Revision() {
+		return // it starts after what is known here
+	}
+	en.apply(now, du.Update, from)
+}
+
+// apply takes over an update. The caller holds mu.
+func (en *Entry) apply(now time.Time, up jpdirectory.Update, source string) {
+	before := en.directory.Manifest()
+	changed := en.directory.Apply(now, up)
+	en.refreshCurrent(now)
+	if len(changed) == 0 {
+		return
+	}
+	en.dispatch.Apply(now, changed)
+	instances := false
+	for _, rc := range changed {
+		en.logRecord(rc, source)
+		instances = instances || rc.Key.Kind == jpdirectory.InstanceRecord
+	}
+	if instances {
+		en.listInstances(now)
+	}
+	if after := en.directory.Manifest(); before == nil && after != nil {
+		klog.InfoS("entry: ready", "version", after.Version, "revision", en.directory.Revision(), "source", source)
+		en.addEvent("entry", "instance_ready", en.settings.ID, source)
+	}
+}
+
+// logRecord writes a line for a change of what the instance knows.
+func (en *Entry) logRecord(rc jpdirectory.Record, source string) {
+	switch {
+	case rc.Manifest != nil:
+		klog.InfoS("directory: routes", "version", rc.Manifest.Version, "routes", len(rc.Manifest.Routes),
+			"revision", rc.Revision, "source", source)
+		en.addEvent("directory", "routes_changed", "", source)
+	case rc.Server != nil:
+		klog.InfoS("directory: server", "server", rc.Server.ID, "service", rc.Server.Service,
+			"address", rc.Server.Address, "data_centre", rc.Server.DataCentre, "draining", rc.Server.Draining,
+			"revision", rc.Revision, "source", source)
+	case rc.Key.Kind == jpdirectory.DataCentreOutRecord:
+		klog.InfoS("directory: data centre", "data_centre", rc.Key.Name, "out", rc.DataCentreOut,
+			"revision", rc.Revision, "source", source)
+		en.addEvent("directory", "data_centre_changed", rc.Key.Name, source)
+	case rc.Instance == nil:
+		klog.InfoS("directory: removed", "name", rc.Key.Name, "revision", rc.Revision, "source", source)
+	}
+}
--- /dev/null
+++ b/io/jpentry/entry.go
@@ -0,0 +1,221 @@
+package jpentry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
+
+	"jacinthpass/core/jpdirectory"
+	"jacinthpass/core/jpdispatch"
+	"jacinthpass/core/jpevent"
+	"jacinthpass/core/jpmember"
+	"jacinthpass/io/jppeer"
+)
+
+const (
+	// tickInterval is also that of heartbeats' deadlines; see jpmember.
+	tickInterval = 100 * time.Millisecond
+
+	// readBuffer holds 3,000 packets, more than all callers of a data centre
+	// have in flight.
+	readBuffer = 4 << 20
+)
+
+// Options are the product's own settings of an entry instance.
+type Options struct {
+	MetricsPort  uint16 // 0 serves no metrics
+	LogPerSecond int    // lines about packets, at most
+}
+
+// Entry is one running entry instance.
+type Entry struct {
+	platform Platform
+	settings Settings
+	options  Options
+	conn     *net.UDPConn
+	peers    *jppeer.Node
+	store    atomic.Pointer[storeHandle]
+	metrics  *metrics
+	budget   *lineBudget
+
+	stopping atomic.Bool
+	lastSeen atomic.Int64 // time of the last packet of a caller, Unix ns
+
+	mu        sync.Mutex // guards what follows
+	dispatch  *jpdispatch.Dispatcher
+	directory *jpdirectory.Directory
+	group     *jpmember.Group
+	view      jpmember.View
+	contact   contact
+	statuses  map[string]peerStatus
+	nextTell  time.Time // when the next status goes to peers
+	told      uint64    // revision in the last status
+	nextAsk   time.Time // when a peer may be asked for changes again
+	events    jpevent.Log
+}
+
+type storeHandle struct {
+	Store
+	address netip.AddrPort
+}
+
+// contact is this instance's own contact with the store.
+type contact struct {
+	steady time.Time // since when it answers; zero while it does not
+	last   time.Time // last answer
+}
+
+// peerStatus is the latest status of a peer.
+type peerStatus struct {
+	revision uint64
+	current  time.Time
+	steady   time.Time
+	at       time.Time
+}
+
+// Run runs an entry instance until ctx ends and the stop is complete. reload
+// asks to read the settings again. It returns an error if the instance cannot
+// start or a part of it fails.
+func Run(ctx context.Context, pf Platform, opts Options, reload <-chan struct{}) error {
+	settings, err := pf.Load()
+	if err != nil {
+		return err
+	}
+	en, err := newEntry(pf, settings, opts, time.Now())
+	if err != nil {
+		return err
+	}
+	defer en.conn.Close()
+	klog.InfoS("entry: started", "instance", settings.ID, "data_centre", settings.DataCentre,
+		"traffic", settings.Traffic, "store", settings.Store, "seeds", len(settings.Seeds))
+	en.event("entry", "instance_started", settings.ID, "")
+	err = en.run(ctx, reload)
+	klog.InfoS("entry: stopped", "instance", settings.ID, "err", err)
+	return err
+}
+
+func newEntry(pf Platform, settings Settings, opts Options, now time.Time) (*Entry, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(settings.Traffic))
+	if err != nil {
+		return nil, err
+	}
+	if err := conn.SetReadBuffer(readBuffer); err != nil {
+		klog.InfoS("entry: read buffer stays at the system's size", "err", err)
+	}
+	en := &Entry{
+		platform: pf, settings: settings, options: opts, conn: conn,
+		metrics:   newMetrics(settings.ID, settings.DataCentre),
+		budget:    newLineBudget(opts.LogPerSecond),
+		dispatch:  jpdispatch.New(settings.DataCentre),
+		directory: jpdirectory.New(),
+		statuses:  map[string]peerStatus{},
+	}
+	en.store.Store(&storeHandle{pf.OpenStore(settings.Store), settings.Store})
+	self := jpmember.Member{
+		ID: settings.ID, DataCentre: settings.DataCentre,
+		Addresses:   jpmember.Addresses{Traffic: settings.Traffic, Peer: settings.Peer},
+		Incarnation: uint64(now.UnixNano()),
+	}
+	en.group = jpmember.NewGroup(self, now)
+	en.peers = jppeer.New(jppeer.Config{ID: settings.ID, Listen: settings.Peer, Advertise: self.Addresses}, en.handleMessage)
+	en.listInstances(now)
+	return en, nil
+}
+
+func (en *Entry) run(ctx context.Context, reload <-chan struct{}) error {
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	group, work := errgroup.WithContext(work)
+	group.Go(func() error { return en.serveReady(work) })
+	group.Go(func() error { return en.servePackets(work) })
+	group.Go(func() error { return en.peers.Serve(work) })
+	group.Go(func() error { en.runTicks(work); return nil })
+	group.Go(func() error { en.followStore(work); return nil })
+	group.Go(func() error { en.register(work); return nil })
+	group.Go(func() error { en.followSettings(work, reload); return nil })
+	if en.options.MetricsPort != 0 {
+		group.Go(func() error { return en.serveMetrics(work) })
+	}
+	group.Go(func() error {
+		defer cancel()
+		select {
+		case <-work.Done():
+			return nil
+		case <-ctx.Done():
+		}
+		en.stop(work)
+		return nil
+	})
+	return group.Wait()
+}
+
+// serveReady answers readiness checks.
+func (en *Entry) serveReady(ctx context.Context) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+en.platform.ReadyPath, func(wr http.ResponseWriter, _ *http.Request) {
+		if !en.ready() {
+			wr.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return serveHTTP(ctx, en.settings.Ready.String(), mux)
+}
+
+func (en *Entry) ready() bool {
+	if en.stopping.Load() {
+		return false
+	}
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	return en.directory.Manifest() != nil
+}
+
+// serveHTTP serves a handler until ctx ends.
+func serveHTTP(ctx context.Context, address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	defer context.AfterFunc(ctx, func() { server.Close() })()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+const (
+	headerTimeout  = 2 * time.Second // longer than a checker waits for its answer
+	maxHeaderBytes = 8 << 10
+)
+
+// event adds an event to the time line.
+func (en *Entry) event(part, name, subject, detail string) {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	en.addEvent(part, name, subject, detail)
+}
+
+// addEvent is event for callers that hold mu.
+func (en *Entry) addEvent(part, name, subject, detail string) {
+	en.events.Add(jpevent.Event{
+		At: time.Now(), Instance: en.settings.ID, Part: part, Name: name, Subject: subject, Detail: detail,
+	})
+}
+
+// sleep waits, or returns early when ctx ends.
+func sleep(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/io/jpentry/follow.go
@@ -0,0 +1,181 @@
+package jpentry
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"jacinthpass/core/jpdirectory"
+	"jacinthpass/core/jprollout"
+)
+
+const (
+	// watchWait is how long a watch waits for a change. Each call is paid for;
+	// without its end, nothing tells that the store is still there.
+	watchWait = 2 * time.Second
+
+	// watchGap separates two watches, so that a series of changes takes one
+	// call. Changes have to be in force within 3 s, and peers need up to 1 s.
+	watchGap = 500 * time.Millisecond
+
+	// idleCheck is how often an instance looks whether it has to watch.
+	idleCheck = 250 * time.Millisecond
+
+	// staleTime makes any instance watch if nobody tells it that its directory
+	// is up to date: a watch's wait and two statuses.
+	staleTime = watchWait + statusTime
+
+	minRetry = 100 * time.Millisecond
+	maxRetry = time.Second // the store's outages last seconds
+)
+
+// followStore keeps the directory up to date, as far as that is this
+// instance's part.
+func (en *Entry) followStore(ctx context.Context) {
+	retry := minRetry
+	synced := false
+	for ctx.Err() == nil {
+		if synced && !en.watches(time.Now()) {
+			sleep(ctx, idleCheck)
+			continue
+		}
+		up, err := en.fetch(ctx, synced)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case errors.Is(err, ErrHistoryGone):
+			klog.InfoS("store: history is gone, reading everything")
+			synced = false
+		case err != nil:
+			en.storeLost(err)
+			sleep(ctx, retry/2+rand.N(retry))
+			retry = min(2*retry, maxRetry)
+			// Peers may have filled the directory meanwhile.
+			synced = en.knows()
+		default:
+			synced, retry = true, minRetry
+			en.storeAnswered(up)
+			if len(up.Records) > 0 {
+				sleep(ctx, watchGap)
+			}
+		}
+	}
+}
+
+// fetch reads everything, or waits for the next changes.
+func (en *Entry) fetch(ctx context.Context, synced bool) (jpdirectory.Update, error) {
+	store := en.store.Load()
+	if !synced {
+		return store.Read(ctx)
+	}
+	en.mu.Lock()
+	revision := en.directory.Revision()
+	en.mu.Unlock()
+	return store.Watch(ctx, revision, watchWait)
+}
+
+func (en *Entry) knows() bool {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	return en.directory.Known()
+}
+
+// watches tells whether this instance has to watch the store: it is one of
+// those of its data centre that do, or nobody tells it what is new.
+func (en *Entry) watches(now time.Time) bool {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	if now.Sub(en.directory.Current()) > staleTime {
+		return true
+	}
+	return slices.Contains(jprollout.Watchers(en.view.Members, en.settings.DataCentre), en.settings.ID)
+}
+
+func (en *Entry) storeAnswered(up jpdirectory.Update) {
+	now := time.Now()
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	if en.contact.steady.IsZero() {
+		en.contact.steady = now
+		klog.InfoS("store: reachable", "revision", up.Revision, "full", up.Full)
+		en.addEvent("store", "store_reachable", "", "")
+	}
+	en.contact.last = now
+	en.apply(now, up, "store")
+}
+
+func (en *Entry) storeLost(err error) {
+	en.metrics.storeErrors.Add(1)
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	if en.contact.steady.IsZero() {
+		return
+	}
+	en.contact.steady = time.Time{}
+	klog.InfoS("store: lost", "err", err, "revision", en.directory.Revision(),
+		"age_ms", time.Since(en.directory.Current()).Milliseconds())
+	en.addEvent("store", "store_lost", "", err.Error())
+}
+
+const (
+	// leaseTime ends the registration of an instance that died. It is several
+	// renewals long, because the store may be away for seconds.
+	leaseTime = 10 * time.Second
+
+	// renewInterval leaves two further attempts before the lease ends.
+	renewInterval = 3 * time.Second
+)
+
+// register keeps this instance's entry in the store until ctx ends.
+func (en *Entry) register(ctx context.Context) {
+	var lease uint64
+	for ctx.Err() == nil {
+		err := en.renew(ctx, &lease)
+		switch {
+		case errors.Is(err, ErrLeaseEnded):
+			klog.InfoS("store: registration has ended, registering again")
+			lease = 0
+		case err != nil:
+			klog.V(1).InfoS("store: registration failed", "err", err)
+			sleep(ctx, maxRetry/2+rand.N(maxRetry))
+		default:
+			sleep(ctx, renewInterval)
+		}
+		if en.stopping.Load() {
+			break
+		}
+	}
+	if lease == 0 {
+		return
+	}
+	limit, cancel := context.WithTimeout(context.WithoutCancel(ctx), endTimeout)
+	defer cancel()
+	if err := en.store.Load().End(limit, lease); err != nil {
+		klog.InfoS("store: registration was not removed, its lease will end", "err", err)
+	}
+}
+
+// endTimeout bounds the last call of a stop.
+const endTimeout = 300 * time.Millisecond
+
+// renew registers this instance, or renews its registration.
+func (en *Entry) renew(ctx context.Context, lease *uint64) error {
+	store := en.store.Load()
+	if *lease != 0 {
+		return store.Renew(ctx, *lease)
+	}
+	id, err := store.Lease(ctx, max(leaseTime, en.settings.LeaseMinimum))
+	if err != nil {
+		return err
+	}
+	in := jpdirectory.Instance{ID: en.settings.ID, DataCentre: en.settings.DataCentre, Peer: en.settings.Peer}
+	if err := store.Register(ctx, in, id); err != nil {
+		return err
+	}
+	*lease = id
+	return nil
+}
--- /dev/null
+++ b/io/jpentry/metrics.go
@@ -0,0 +1,140 @@
+package jpentry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+	"k8s.io/klog/v2"
+
+	"jacinthpass/core/jpdispatch"
+)
+
+// metricsInterval is how old the page may be.
+const metricsInterval = 2 * time.Second
+
+// metrics counts what an instance does. Counting is an atomic addition; sums are
+// passed on to tally at intervals.
+type metrics struct {
+	tags        map[string]string
+	reasons     [jpdispatch.Reasons]atomic.Uint64
+	malformed   atomic.Uint64
+	readErrors  atomic.Uint64
+	sendErrors  atomic.Uint64
+	storeErrors atomic.Uint64
+	storeCalls  atomic.Uint64
+	flows       atomic.Int64
+	servers     atomic.Int64
+	silent      atomic.Int64
+	revision    atomic.Uint64
+	handled     durations
+}
+
+// durations counts durations in fixed buckets.
+type durations struct {
+	counts [len(bucketLimits) + 1]atomic.Uint64
+}
+
+// bucketLimits are upper limits: a decision takes microseconds, and much longer
+// only if the processor was taken away.
+var bucketLimits = [...]time.Duration{
+	20 * time.Microsecond, 50 * time.Microsecond, 100 * time.Microsecond, 500 * time.Microsecond,
+	2 * time.Millisecond, 10 * time.Millisecond, 100 * time.Millisecond,
+}
+
+// RecordDuration counts a duration.
+func (du *durations) RecordDuration(took time.Duration) {
+	for ix, limit := range bucketLimits {
+		if took <= limit {
+			du.counts[ix].Add(1)
+			return
+		}
+	}
+	du.counts[len(bucketLimits)].Add(1)
+}
+
+func newMetrics(instance, dataCentre string) *metrics {
+	return &metrics{tags: map[string]string{"instance_id": instance, "data_centre": dataCentre}}
+}
+
+func (mt *metrics) count(dc jpdispatch.Decision) { mt.reasons[dc.Reason].Add(1) }
+
+func (mt *metrics) setState(stats jpdispatch.Stats, revision, calls uint64) {
+	mt.flows.Store(int64(stats.Flows))
+	mt.servers.Store(int64(stats.Servers))
+	mt.silent.Store(int64(stats.Silent))
+	mt.revision.Store(revision)
+	mt.storeCalls.Store(calls)
+}
+
+// flush passes the growth of all sums on to a scope. done holds the parts that
+// were passed on.
+func (mt *metrics) flush(scope tally.Scope, done map[string]uint64) {
+	sum := func(name string, tags map[string]string, key string, value uint64) {
+		scope.Tagged(tags).Counter(name).Inc(int64(value - done[name+key]))
+		done[name+key] = value
+	}
+	for reason := range mt.reasons {
+		name := jpdispatch.Reason(reason).String()
+		sum("packets_total", map[string]string{"reason": name}, name, mt.reasons[reason].Load())
+	}
+	for _, ct := range []struct {
+		name string
+		from *atomic.Uint64
+	}{
+		{"malformed_packets_total", &mt.malformed},
+		{"read_errors_total", &mt.readErrors},
+		{"send_errors_total", &mt.sendErrors},
+		{"store_errors_total", &mt.storeErrors},
+		{"store_calls_total", &mt.storeCalls},
+	} {
+		sum(ct.name, nil, "", ct.from.Load())
+	}
+	total := uint64(0)
+	for ix := range mt.handled.counts {
+		total += mt.handled.counts[ix].Load()
+		limit := "+Inf"
+		if ix < len(bucketLimits) {
+			limit = strconv.FormatFloat(bucketLimits[ix].Seconds(), 'g', -1, 64)
+		}
+		sum("decision_seconds_bucket", map[string]string{"le": limit}, limit, total)
+	}
+	scope.Gauge("flows").Update(float64(mt.flows.Load()))
+	scope.Gauge("servers").Update(float64(mt.servers.Load()))
+	scope.Gauge("silent_servers").Update(float64(mt.silent.Load()))
+	scope.Gauge("directory_revision").Update(float64(mt.revision.Load()))
+}
+
+// serveMetrics serves the counters and the time line until ctx ends.
+func (en *Entry) serveMetrics(ctx context.Context) error {
+	reporter := prometheus.NewReporter(prometheus.Options{
+		Registerer:      prom.NewRegistry(),
+		OnRegisterError: func(err error) { klog.ErrorS(err, "metrics: registration failed") },
+	})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "jacinthpass", Tags: en.metrics.tags, CachedReporter: reporter,
+		Separator: prometheus.DefaultSeparator, OmitCardinalityMetrics: true,
+	}, metricsInterval)
+	defer func() {
+		if err := closer.Close(); err != nil {
+			klog.ErrorS(err, "metrics: last report failed")
+		}
+	}()
+	go func() {
+		done := map[string]uint64{}
+		for ctx.Err() == nil {
+			en.metrics.flush(scope, done)
+			sleep(ctx, metricsInterval)
+		}
+	}()
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", reporter.HTTPHandler())
+	address := net.JoinHostPort(en.settings.Traffic.Addr().String(), strconv.Itoa(int(en.options.MetricsPort)))
+	return serveHTTP(ctx, address, mux)
+}
--- /dev/null
+++ b/io/jppeer/directory.go
@@ -0,0 +1,266 @@
+package jppeer
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/samber/oops"
+
+	"jacinthpass/core/jpdirectory"
+	"jacinthpass/core/jpdispatch"
+)
+
+// DirectoryStatus tells how far the sender's directory is, and the loads that
+// its flows put on servers. It is sent to each neighbour twice a second and
+// after each change.
+type DirectoryStatus struct {
+	Revision uint64
+	Age      time.Duration // since the revision was the store's latest
+	Steady   time.Duration // for which the store has answered without a break
+	Loads    []jpdispatch.Load
+}
+
+// DirectoryRequest asks for the changes after a revision.
+type DirectoryRequest struct {
+	Revision uint64
+}
+
+// DirectoryUpdate answers a DirectoryRequest. From is the revision of the
+// request. Deadlines in records travel as the time left.
+type DirectoryUpdate struct {
+	From   uint64
+	Update jpdirectory.Update
+	Sent   time.Time // time to which deadlines relate; set on both sides
+}
+
+type wireDirectoryStatus struct {
+	_        struct{} `cbor:",toarray"`
+	Revision uint64
+	Age      int64 // ns
+	Steady   int64 // ns
+	Loads    []wireServerLoad
+}
+
+type wireServerLoad struct {
+	_      struct{} `cbor:",toarray"`
+	Server string
+	Flows  uint32
+}
+
+type wireDirectoryRequest struct {
+	_        struct{} `cbor:",toarray"`
+	Revision uint64
+}
+
+type wireDirectoryUpdate struct {
+	_        struct{} `cbor:",toarray"`
+	From     uint64
+	Revision uint64
+	Full     bool
+	Age      int64 // ns
+	Records  []wireRecord
+}
+
+type wireRecord struct {
+	_             struct{} `cbor:",toarray"`
+	Kind          uint8
+	Name          string
+	Revision      uint64
+	DataCentreOut bool
+	Manifest      *wireManifest
+	Server        *wireServer
+	Instance      *wireInstance
+}
+
+type wireManifest struct {
+	_           struct{} `cbor:",toarray"`
+	Version     uint64
+	Routes      []wireRoute
+	Services    []wireService
+	IdleTimeout int64 // ns
+}
+
+type wireRoute struct {
+	_        struct{} `cbor:",toarray"`
+	Name     string
+	Address  netip.AddrPort
+	Kind     uint8
+	Targets  []wireTarget
+	Timeout  int64 // ns
+	Priority int
+}
+
+type wireTarget struct {
+	_       struct{} `cbor:",toarray"`
+	Service string
+	Weight  int
+}
+
+type wireService struct {
+	_             struct{} `cbor:",toarray"`
+	Name          string
+	MaxFlows      int
+	ColdTime      int64 // ns
+	ColdPerSecond float64
+}
+
+type wireServer struct {
+	_          struct{} `cbor:",toarray"`
+	ID         string
+	Number     uint64
+	Service    string
+	Address    netip.AddrPort
+	DataCentre string
+	Slots      int
+	Draining   bool
+	ColdLeft   int64 // ns
+	Started    int64 // Unix ms, 0 if unknown
+}
+
+type wireInstance struct {
+	_          struct{} `cbor:",toarray"`
+	ID         string
+	DataCentre string
+	Peer       netip.AddrPort
+}
+
+func directoryStatusToWire(ds DirectoryStatus) wireDirectoryStatus {
+	wire := wireDirectoryStatus{
+		Revision: ds.Revision, Age: int64(ds.Age), Steady: int64(ds.Steady),
+		Loads: make([]wireServerLoad, 0, len(ds.Loads)),
+	}
+	for _, ld := range ds.Loads {
+		wire.Loads = append(wire.Loads, wireServerLoad{Server: ld.Server, Flows: uint32(ld.Flows)})
+	}
+	return wire
+}
+
+func directoryStatusFromWire(wire wireDirectoryStatus) (DirectoryStatus, error) {
+	if wire.Age < 0 || wire.Steady < 0 {
+		return DirectoryStatus{}, oops.Errorf("age %d, steady %d", wire.Age, wire.Steady)
+	}
+	ds := DirectoryStatus{Revision: wire.Revision, Age: time.Duration(wire.Age), Steady: time.Duration(wire.Steady)}
+	for _, wl := range wire.Loads {
+		ds.Loads = append(ds.Loads, jpdispatch.Load{Server: wl.Server, Flows: int(wl.Flows)})
+	}
+	return ds, nil
+}
+
+func directoryUpdateToWire(du DirectoryUpdate) wireDirectoryUpdate {
+	wire := wireDirectoryUpdate{
+		From: du.From, Revision: du.Update.Revision, Full: du.Update.Full,
+		Age:     int64(max(du.Sent.Sub(du.Update.Current), 0)),
+		Records: make([]wireRecord, 0, len(du.Update.Records)),
+	}
+	for _, rc := range du.Update.Records {
+		wire.Records = append(wire.Records, recordToWire(rc, du.Sent))
+	}
+	return wire
+}
+
+func directoryUpdateFromWire(wire wireDirectoryUpdate) (DirectoryUpdate, error) {
+	now := time.Now()
+	du := DirectoryUpdate{From: wire.From, Sent: now}
+	du.Update = jpdirectory.Update{
+		Revision: wire.Revision, Full: wire.Full, Current: now.Add(-time.Duration(wire.Age)),
+	}
+	for _, wr := range wire.Records {
+		rc, err := recordFromWire(wr, now)
+		if err != nil {
+			return du, err
+		}
+		du.Update.Records = append(du.Update.Records, rc)
+	}
+	return du, nil
+}
+
+func recordToWire(rc jpdirectory.Record, now time.Time) wireRecord {
+	wire := wireRecord{
+		Kind: uint8(rc.Key.Kind), Name: rc.Key.Name, Revision: rc.Revision, DataCentreOut: rc.DataCentreOut,
+	}
+	if mf := rc.Manifest; mf != nil {
+		wire.Manifest = manifestToWire(mf)
+	}
+	if sr := rc.Server; sr != nil {
+		wire.Server = &wireServer{
+			ID: sr.ID, Number: sr.Number, Service: sr.Service, Address: sr.Address, DataCentre: sr.DataCentre,
+			Slots: sr.Slots, Draining: sr.Draining, ColdLeft: int64(max(sr.WarmAt.Sub(now), 0)),
+		}
+		if !sr.Started.IsZero() {
+			wire.Server.Started = sr.Started.UnixMilli()
+		}
+	}
+	if in := rc.Instance; in != nil {
+		wire.Instance = &wireInstance{ID: in.ID, DataCentre: in.DataCentre, Peer: in.Peer}
+	}
+	return wire
+}
+
+func recordFromWire(wire wireRecord, now time.Time) (jpdirectory.Record, error) {
+	kind := jpdirectory.Kind(wire.Kind)
+	if kind < jpdirectory.ManifestRecord || kind > jpdirectory.InstanceRecord {
+		return jpdirectory.Record{}, oops.Errorf("record of kind %d", wire.Kind)
+	}
+	rc := jpdirectory.Record{
+		Key:      jpdirectory.Key{Kind: kind, Name: wire.Name},
+		Revision: wire.Revision, DataCentreOut: wire.DataCentreOut,
+	}
+	if wire.Manifest != nil {
+		rc.Manifest = manifestFromWire(wire.Manifest)
+	}
+	if ws := wire.Server; ws != nil {
+		rc.Server = &jpdirectory.Server{
+			ID: ws.ID, Number: ws.Number, Service: ws.Service, Address: ws.Address, DataCentre: ws.DataCentre,
+			Slots: ws.Slots, Draining: ws.Draining, WarmAt: now.Add(time.Duration(ws.ColdLeft)),
+		}
+		if ws.Started != 0 {
+			rc.Server.Started = time.UnixMilli(ws.Started)
+		}
+	}
+	if wi := wire.Instance; wi != nil {
+		rc.Instance = &jpdirectory.Instance{ID: wi.ID, DataCentre: wi.DataCentre, Peer: wi.Peer}
+	}
+	return rc, nil
+}
+
+func manifestToWire(mf *jpdirectory.Manifest) *wireManifest {
+	wire := &wireManifest{
+		Version: mf.Version, IdleTimeout: int64(mf.IdleTimeout),
+		Routes: make([]wireRoute, 0, len(mf.Routes)), Services: make([]wireService, 0, len(mf.Services)),
+	}
+	for _, rt := range mf.Routes {
+		wr := wireRoute{
+			Name: rt.Name, Address: rt.Address, Kind: uint8(rt.Kind), Timeout: int64(rt.Timeout), Priority: rt.Priority,
+		}
+		for _, tg := range rt.Targets {
+			wr.Targets = append(wr.Targets, wireTarget{Service: tg.Service, Weight: tg.Weight})
+		}
+		wire.Routes = append(wire.Routes, wr)
+	}
+	for _, sc := range mf.Services {
+		wire.Services = append(wire.Services, wireService{
+			Name: sc.Name, MaxFlows: sc.MaxFlows, ColdTime: int64(sc.ColdTime), ColdPerSecond: sc.ColdPerSecond,
+		})
+	}
+	return wire
+}
+
+func manifestFromWire(wire *wireManifest) *jpdirectory.Manifest {
+	mf := &jpdirectory.Manifest{Version: wire.Version, IdleTimeout: time.Duration(wire.IdleTimeout)}
+	for _, wr := range wire.Routes {
+		rt := jpdirectory.Route{
+			Name: wr.Name, Address: wr.Address, Kind: jpdirectory.RouteKind(wr.Kind),
+			Timeout: time.Duration(wr.Timeout), Priority: wr.Priority,
+		}
+		for _, tg := range wr.Targets {
+			rt.Targets = append(rt.Targets, jpdirectory.Target{Service: tg.Service, Weight: tg.Weight})
+		}
+		mf.Routes = append(mf.Routes, rt)
+	}
+	for _, ws := range wire.Services {
+		mf.Services = append(mf.Services, jpdirectory.Service{
+			Name: ws.Name, MaxFlows: ws.MaxFlows, ColdTime: time.Duration(ws.ColdTime), ColdPerSecond: ws.ColdPerSecond,
+		})
+	}
+	return mf
+}
--- a/io/jppeer/frame.go
+++ b/io/jppeer/frame.go
@@ -22,6 +22,9 @@
 	typeSettings
 	typeEventsRequest
 	typeEvents
+	typeDirectoryStatus
+	typeDirectoryRequest
+	typeDirectoryUpdate
 	typeCount
 )
 
@@ -33,6 +36,10 @@
 	typeSettings:        "settings",
 	typeEventsRequest:   "events_request",
 	typeEvents:          "events",
+
+	typeDirectoryStatus:  "directory_status",
+	typeDirectoryRequest: "directory_request",
+	typeDirectoryUpdate:  "directory_update",
 }
 
 // envelope is a frame: one CBOR array of the type and the body.
@@ -98,6 +105,12 @@
 		return typeEventsRequest, eventsRequestToWire(msg), nil
 	case Events:
 		return typeEvents, eventsToWire(msg), nil
+	case DirectoryStatus:
+		return typeDirectoryStatus, directoryStatusToWire(msg), nil
+	case DirectoryRequest:
+		return typeDirectoryRequest, wireDirectoryRequest{Revision: msg.Revision}, nil
+	case DirectoryUpdate:
+		return typeDirectoryUpdate, directoryUpdateToWire(msg), nil
 	}
 	return 0, nil, oops.Errorf("peer: %T is not a message", msg)
 }
@@ -139,6 +152,14 @@
 		return fromWire(env.Body, eventsRequestFromWire)
 	case typeEvents:
 		return fromWire(env.Body, eventsFromWire)
+	case typeDirectoryStatus:
+		return fromWire(env.Body, directoryStatusFromWire)
+	case typeDirectoryRequest:
+		return fromWire(env.Body, func(wr wireDirectoryRequest) (DirectoryRequest, error) {
+			return DirectoryRequest{Revision: wr.Revision}, nil
+		})
+	case typeDirectoryUpdate:
+		return fromWire(env.Body, directoryUpdateFromWire)
 	}
 	return nil, oops.Errorf("unknown type")
 }
--- a/io/jppeer/queue.go
+++ b/io/jppeer/queue.go
@@ -16,8 +16,8 @@
 	frame []byte
 }
 
-// queue holds the messages for one peer. Heartbeats may be dropped: the next
-// one replaces them.
+// queue holds the messages for one peer. Heartbeats and statuses may be
+// dropped: the next one replaces them.
 type queue struct {
 	mu        sync.Mutex
 	entries   []queued
@@ -30,15 +30,15 @@
 	return &queue{ready: make(chan struct{}, 1)}
 }
 
-// push adds a message and returns how many heartbeats it dropped for it.
-// Without a connection only the latest heartbeat is kept, because an old one
+// push adds a message and returns how many replaceable ones it dropped for it.
+// Without a connection only the latest of them is kept, because an old one
 // would tell the peer nothing that is still true.
 func (qu *queue) push(msg queued) (dropped int, err error) {
 	qu.mu.Lock()
 	defer qu.mu.Unlock()
 	full := len(qu.entries) >= maxQueued
-	if msg.kind == typeHeartbeat && (full || !qu.connected) {
-		dropped = qu.dropHeartbeat()
+	if msg.kind.replaceable() && (full || !qu.connected) {
+		dropped = qu.dropOldest(msg.kind)
 	}
 	if len(qu.entries) >= maxQueued || qu.bytes+len(msg.frame) > maxQueuedBytes {
 		return dropped, ErrQueueFull
@@ -49,10 +49,16 @@
 	return dropped, nil
 }
 
-// dropHeartbeat removes the oldest heartbeat.
-func (qu *queue) dropHeartbeat() int {
+// replaceable tells whether a later message of the type makes an earlier one
+// useless.
+func (mt messageType) replaceable() bool {
+	return mt == typeHeartbeat || mt == typeDirectoryStatus
+}
+
+// dropOldest removes the oldest message of a type.
+func (qu *queue) dropOldest(kind messageType) int {
 	for at, msg := range qu.entries {
-		if msg.kind == typeHeartbeat {
+		if msg.kind == kind {
 			qu.entries = append(qu.entries[:at], qu.entries[at+1:]...)
 			qu.bytes -= len(msg.frame)
 			return 1
