Let peers read manifests in updates of the directory

Cause: the decoder of peer messages allowed 8 levels of nesting; a target in a route of a manifest is at level 9, so an update with a manifest ended the connection and its receiver kept the old version until it read the store itself. Ruled out: lost statuses, watchers chosen wrongly.

--- a/io/jppeer/frame.go
+++ b/io/jppeer/frame.go
@@ -54,7 +54,7 @@
 var decoding = mustDecMode(cbor.DecOptions{
 	MaxArrayElements: 1 << 16,
 	MaxMapPairs:      16,
-	MaxNestedLevels:  8,
+	MaxNestedLevels:  12, // a target in a route of a manifest is at level 9
 	IndefLength:      cbor.IndefLengthForbidden,
 	TagsMd:           cbor.TagsForbidden,
 })
--- a/io/jppeer/frame_test.go
+++ b/io/jppeer/frame_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"jacinthpass/core/jpdirectory"
+	"jacinthpass/core/jpdispatch"
 	"jacinthpass/core/jpevent"
 	"jacinthpass/core/jpmember"
 	"jacinthpass/core/jppacket"
@@ -46,6 +48,73 @@
 	Events{ID: 9, Events: []jpevent.Event{{At: time.Unix(1_790_000_000, 6), Instance: "hobart-1", Part: "steering", Name: "takeover"}}},
 }
 
+// directorySamples have values that depend on the time at which they are sent.
+func directorySamples() []any {
+	return []any{
+		DirectoryStatus{Revision: 7, Age: time.Second, Steady: time.Minute, Loads: []jpdispatch.Load{{Server: "i-1", Flows: 3}}},
+		DirectoryRequest{Revision: 6},
+	}
+}
+
+// Guards against updates that a peer cannot read, of which it learns nothing:
+// a manifest was nested more deeply than the decoder allowed.
+func TestDirectoryUpdate(t *testing.T) {
+	for _, want := range directorySamples() {
+		if got := carry(t, want); !reflect.DeepEqual(got, want) {
+			t.Errorf("got %+v, want %+v", got, want)
+		}
+	}
+	now := time.Now()
+	sent := DirectoryUpdate{From: 6, Sent: now, Update: jpdirectory.Update{Revision: 9, Current: now.Add(-time.Second)}}
+	server := jpdirectory.Server{
+		ID: "i-7f3a91c2", Number: 0x7f3a91c2, Service: "order_desk", Address: netip.MustParseAddrPort("127.2.1.1:80"),
+		DataCentre: "hobart", Slots: 2, Draining: true, WarmAt: now.Add(time.Second), Started: time.UnixMilli(1_790_000_000_123),
+	}
+	manifest := jpdirectory.Manifest{
+		Version: 4, IdleTimeout: time.Minute,
+		Routes: []jpdirectory.Route{{
+			Name: "alerts", Address: netip.MustParseAddrPort("10.80.0.1:443"), Kind: jpdirectory.Download,
+			Targets: []jpdirectory.Target{{Service: "order_desk", Weight: 90}}, Timeout: time.Second, Priority: 2,
+		}},
+		Services: []jpdirectory.Service{{Name: "order_desk", MaxFlows: 2000, ColdTime: time.Second, ColdPerSecond: 2.5}},
+	}
+	sent.Update.Records = []jpdirectory.Record{
+		{Key: jpdirectory.Key{Kind: jpdirectory.ManifestRecord}, Revision: 7, Manifest: &manifest},
+		{Key: jpdirectory.Key{Kind: jpdirectory.ServerRecord, Name: server.ID}, Revision: 8, Server: &server},
+		{Key: jpdirectory.Key{Kind: jpdirectory.DataCentreOutRecord, Name: "hobart"}, Revision: 9, DataCentreOut: true},
+		{Key: jpdirectory.Key{Kind: jpdirectory.InstanceRecord, Name: "10.0.0.1"}, Revision: 9},
+	}
+	got := carry(t, sent).(DirectoryUpdate)
+	if !reflect.DeepEqual(got.Update.Records[0].Manifest, &manifest) {
+		t.Errorf("manifest %+v, want %+v", got.Update.Records[0].Manifest, manifest)
+	}
+	received := *got.Update.Records[1].Server
+	if left := received.WarmAt.Sub(got.Sent); left != time.Second {
+		t.Errorf("cold for %v, want 1s", left)
+	}
+	received.WarmAt = server.WarmAt
+	if !reflect.DeepEqual(received, server) || !got.Update.Records[2].DataCentreOut || !got.Update.Records[3].Removed() {
+		t.Errorf("got %+v, want %+v", got.Update.Records, sent.Update.Records)
+	}
+	if age := got.Sent.Sub(got.Update.Current); age != time.Second {
+		t.Errorf("age %v, want 1s", age)
+	}
+}
+
+// carry encodes and decodes a message.
+func carry(t *testing.T, msg any) any {
+	t.Helper()
+	_, frame, err := encode(msg)
+	if err != nil {
+		t.Fatalf("%T: %v", msg, err)
+	}
+	_, got, err := decode(frame)
+	if err != nil {
+		t.Fatalf("%T: %v", msg, err)
+	}
+	return got
+}
+
 // Guards against fields that are lost or changed on the wire.
 func TestRoundTrip(t *testing.T) {
 	for _, want := range samples {
