Reset flows only after a check of the server's host failed

Cause: servers acknowledge every second packet only, so a request that waits for a slot for 200 ms is repeated by its caller. Three such flows marked a busy server silent, and its flows were reset. Ruled out: pauses of the instance, lost packets, lapsed entries.

--- /dev/null
+++ b/core/jpdispatch/check.go
@@ -0,0 +1,77 @@
+package jpdispatch
+
+import "time"
+
+// check returns a server that shows no sign of life since a packet went to it,
+// so that its state is checked. A request that waits for its turn at a busy
+// server is repeated as well, therefore repeated packets alone prove nothing.
+func (ds *Dispatcher) check(now time.Time, sr *server, sentAt time.Time) Endpoint {
+	if sr.aliveAt.After(sentAt) || sr.checking || now.Before(sr.checkNext) {
+		return Endpoint{}
+	}
+	sr.checking = true
+	return sr.endpoint()
+}
+
+// HandleCheck takes in the result of a check: whether the server's host accepts
+// connections. A pause of this instance during the check makes a failure
+// worthless.
+func (ds *Dispatcher) HandleCheck(now, began time.Time, server Endpoint, answered bool) {
+	sr := ds.tags[server.Tag]
+	if sr == nil || sr.cfg.ID != server.ID || sr.cfg.Address != server.Address {
+		return
+	}
+	sr.checking = false
+	switch {
+	case answered:
+		sr.alive(now)
+		sr.checkNext = now.Add(checkGap)
+	case !began.After(ds.evidence):
+		sr.checkNext = now
+	default:
+		sr.silent = true
+		sr.checkNext = now.Add(recheckGap)
+	}
+}
+
+// Checks returns the servers that have to be checked now: those that left the
+// directory, whose flows can be ended as soon as they are known to be gone, and
+// silent ones, which may be back.
+func (ds *Dispatcher) Checks(now time.Time) []Endpoint {
+	var list []Endpoint
+	for _, sr := range ds.servers {
+		if sr.checking || now.Before(sr.checkNext) {
+			continue
+		}
+		if sr.present == sr.silent && !sr.replaced {
+			sr.checking = true
+			list = append(list, sr.endpoint())
+		}
+	}
+	return list
+}
+
+// Silent returns the ids of present servers that a check found silent.
+func (ds *Dispatcher) Silent() []string {
+	var list []string
+	for id, sr := range ds.servers {
+		if sr.present && sr.silent {
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
+// Doubt makes the next call of Checks return servers that a peer found silent.
+func (ds *Dispatcher) Doubt(ids []string) []Endpoint {
+	var list []Endpoint
+	for _, id := range ids {
+		sr := ds.servers[id]
+		if sr == nil || sr.silent || sr.checking || !sr.present || ds.lastTick.Before(sr.checkNext) {
+			continue
+		}
+		sr.checking = true
+		list = append(list, sr.endpoint())
+	}
+	return list
+}
--- a/core/jpdispatch/dispatcher.go
+++ b/core/jpdispatch/dispatcher.go
@@ -156,9 +156,7 @@
 		return
 	}
 	sr := newServer(*cfg)
-	if known != nil {
-		known.leave(now)
-	}
+	ds.replace(now, known, sr)
 	ds.servers[id] = sr
 	if other := ds.tags[sr.tag]; other == nil || !other.present || other.cfg.ID == id {
 		ds.tags[sr.tag] = sr
@@ -166,6 +164,21 @@
 	delete(ds.strangers, sr.tag)
 }
 
+// replace notes that a server has started in the place of others: under the id
+// of one, or at its address.
+func (ds *Dispatcher) replace(now time.Time, known, next *server) {
+	if known != nil {
+		known.leave(now)
+		known.replaced = true
+	}
+	for _, sr := range ds.servers {
+		if sr.cfg.Address == next.cfg.Address {
+			sr.leave(now)
+			sr.replaced = true
+		}
+	}
+}
+
 // group assigns the present servers to their services.
 func (ds *Dispatcher) group() {
 	for _, sc := range ds.services {
--- a/core/jpdispatch/flow.go
+++ b/core/jpdispatch/flow.go
@@ -34,8 +34,6 @@
 	state     flowState
 	active    bool // counts as load of the server
 	downloads bool
-	counted   bool   // among the unanswered flows of the server, in epoch
-	epoch     uint32 // of the server
 	sequence  uint32 // of the SYN
 	ack       uint32 // last that the caller sent
 	pending   uint32 // sequence number after the data that waits for an answer
@@ -68,20 +66,9 @@
 	}
 	fl.deactivate()
 	fl.server = sr
-	fl.counted = false
 	fl.waiting = false
 }
 
-// unanswered counts the flow against its server, once in each epoch.
-func (fl *flow) unanswered() {
-	sr := fl.server
-	if fl.counted && fl.epoch == sr.epoch {
-		return
-	}
-	fl.counted, fl.epoch = true, sr.epoch
-	sr.unanswered++
-}
-
 func (fl *flow) hasTried(tag uint32) bool {
 	for _, tried := range fl.tried[:fl.tries] {
 		if tried == tag {
--- a/core/jpdispatch/handle.go
+++ b/core/jpdispatch/handle.go
@@ -132,12 +132,9 @@
 // forward sends a packet of an open flow to its server.
 func (ds *Dispatcher) forward(now time.Time, fl *flow, pk Packet, reason Reason) Decision {
 	sr := fl.server
-	ds.observe(now, fl, pk)
-	if !sr.present && ds.gone(now, sr) {
-		return ds.end(now, fl, pk, ServerGone)
-	}
-	if sr.silent && fl.counted && fl.epoch == sr.epoch {
-		return ds.end(now, fl, pk, ServerSilent)
+	check := ds.observe(now, fl, pk)
+	if reason, ended := ds.unable(now, sr); ended {
+		return ds.end(now, fl, pk, reason)
 	}
 	fl.seenAt = now
 	if pk.Flags&FIN != 0 {
@@ -148,7 +145,18 @@
 	} else {
 		fl.activate()
 	}
-	return Decision{Outcome: Forward, Reason: reason, Server: sr.endpoint()}
+	return Decision{Outcome: Forward, Reason: reason, Server: sr.endpoint(), Check: check}
+}
+
+// unable tells whether a server cannot go on with its flows, and why.
+func (ds *Dispatcher) unable(now time.Time, sr *server) (Reason, bool) {
+	switch {
+	case !sr.present && ds.gone(now, sr):
+		return ServerGone, true
+	case sr.silent:
+		return ServerSilent, true
+	}
+	return 0, false
 }
 
 // end resets a flow whose server cannot answer any more.
@@ -171,18 +179,18 @@
 
 // gone tells whether a server that left the directory cannot come back.
 func (ds *Dispatcher) gone(now time.Time, sr *server) bool {
-	if now.Sub(sr.leftAt) >= tagTime {
+	if sr.replaced || sr.silent || now.Sub(sr.leftAt) >= tagTime {
 		return true
 	}
 	return ds.trusted(now) && now.Sub(sr.leftAt) >= strangerTime
 }
 
 // observe judges the server by what its caller sends: an acknowledgement that
-// advances is a sign of life, a repeated packet is a missing one.
-func (ds *Dispatcher) observe(now time.Time, fl *flow, pk Packet) {
+// advances is a sign of life. It returns the server if a repeated packet makes a
+// check necessary.
+func (ds *Dispatcher) observe(now time.Time, fl *flow, pk Packet) Endpoint {
 	sr := fl.server
-	advanced := pk.Flags&ACK != 0 && int32(pk.Ack-fl.ack) > 0
-	if advanced {
+	if pk.Flags&ACK != 0 && int32(pk.Ack-fl.ack) > 0 {
 		if fl.ack != 0 {
 			sr.alive(now)
 		}
@@ -190,7 +198,7 @@
 		fl.waiting = false
 	}
 	if pk.Length == 0 {
-		return
+		return Endpoint{}
 	}
 	end := pk.Sequence + uint32(pk.Length)
 	switch {
@@ -199,9 +207,9 @@
 	case int32(end-fl.pending) > 0:
 		fl.pending = end
 	case ds.fair(now, fl.sentAt):
-		fl.unanswered()
-		ds.judge(now, sr)
+		return ds.check(now, sr, fl.sentAt)
 	}
+	return Endpoint{}
 }
 
 // fair tells whether a packet sent at a moment has had the time to be answered,
@@ -209,12 +217,3 @@
 func (ds *Dispatcher) fair(now, sentAt time.Time) bool {
 	return now.Sub(sentAt) >= answerTime && sentAt.After(ds.evidence)
 }
-
-// judge marks a server that answers nobody.
-func (ds *Dispatcher) judge(now time.Time, sr *server) {
-	if sr.unanswered < silentFlows || now.Sub(sr.aliveAt) < answerTime || sr.silent {
-		return
-	}
-	sr.silent = true
-	sr.tried = now
-}
--- a/core/jpdispatch/packet.go
+++ b/core/jpdispatch/packet.go
@@ -85,8 +85,9 @@
 	Reason  Reason
 	Server  Endpoint // of Forward
 	Reset   ResetPacket
-	Load    int // flows of the server, of Placed and Moved
-	Choices int // servers that were considered, of Placed and Moved
+	Check   Endpoint // server to check, none if its ID is empty
+	Load    int      // flows of the server, of Placed and Moved
+	Choices int      // servers that were considered, of Placed and Moved
 }
 
 // Endpoint is a server as packets address it.
--- a/core/jpdispatch/place.go
+++ b/core/jpdispatch/place.go
@@ -36,15 +36,15 @@
 		return Decision{Outcome: Forward, Reason: Known, Server: fl.server.endpoint()}
 	}
 	reason := Placed
+	var check Endpoint
 	if fl != nil {
 		reason = Moved
 		fl.server.avoidUntil = now.Add(avoidTime)
-		fl.unanswered()
-		ds.judge(now, fl.server)
+		check = ds.check(now, fl.server, fl.sentAt)
 	}
 	sr, choices := ds.choose(now, rt, pk, fl)
 	if sr == nil {
-		return ds.noServer(fl, pk)
+		return ds.noServer(fl, pk, check)
 	}
 	if fl == nil {
 		added, err := ds.flows.Add(key)
@@ -58,7 +58,9 @@
 	fl.try(sr)
 	fl.sequence, fl.sentAt, fl.seenAt = pk.Sequence, now, now
 	fl.activate()
-	return Decision{Outcome: Forward, Reason: reason, Server: sr.endpoint(), Load: sr.load(now), Choices: choices}
+	return Decision{
+		Outcome: Forward, Reason: reason, Server: sr.endpoint(), Check: check, Load: sr.load(now), Choices: choices,
+	}
 }
 
 // noRoute refuses a flow to an address without a route. While the directory may
@@ -72,9 +74,9 @@
 
 // noServer refuses a flow that no server can take. A flow whose SYN has reached
 // a server may still open there.
-func (ds *Dispatcher) noServer(fl *flow, pk Packet) Decision {
+func (ds *Dispatcher) noServer(fl *flow, pk Packet, check Endpoint) Decision {
 	if fl != nil {
-		return Decision{Outcome: Forward, Reason: Known, Server: fl.server.endpoint()}
+		return Decision{Outcome: Forward, Reason: Known, Server: fl.server.endpoint(), Check: check}
 	}
 	return Decision{Outcome: Refuse, Reason: NoServer, Reset: resetOf(pk, NoServer)}
 }
@@ -129,7 +131,7 @@
 }
 
 func (ds *Dispatcher) doubtful(now time.Time, sr *server) bool {
-	return sr.silent && now.Before(sr.tried.Add(retryTime)) || now.Before(sr.avoidUntil)
+	return sr.silent || now.Before(sr.avoidUntil)
 }
 
 // coldFit tells whether a cold server may get a flow from this instance now.
--- a/core/jpdispatch/server.go
+++ b/core/jpdispatch/server.go
@@ -12,10 +12,6 @@
 )
 
 const (
-	// silentFlows flows without an answer, and no sign of life from any other,
-	// mark a server silent. A single lost packet explains one, seldom two.
-	silentFlows = 3
-
 	// answerTime is how long a packet waits for its answer before a repetition
 	// of it counts: callers repeat after 200 ms.
 	answerTime = 150 * time.Millisecond
@@ -24,9 +20,13 @@
 	// other flows, before it is tried again.
 	avoidTime = time.Second
 
-	// retryTime is how long a silent server is avoided before a new flow tries
-	// it again: three intervals of the servers' heartbeats.
-	retryTime = 3 * time.Second
+	// checkGap separates two checks of a server that answered the first one. A
+	// busy server delays answers for longer than callers wait before they
+	// repeat a request.
+	checkGap = time.Second
+
+	// recheckGap separates two checks of a silent server.
+	recheckGap = 1500 * time.Millisecond
 
 	// loadTime is how long a load that a peer told counts: three of its
 	// intervals.
@@ -38,17 +38,17 @@
 	cfg      jpdirectory.Server
 	tag      uint32
 	present  bool
+	replaced bool      // another server has its address
 	leftAt   time.Time // when it left the directory
 	returned time.Time // when its data centre came back
 	flows    int       // active flows of this instance
 	peers    map[string]peerLoad
 
-	epoch      uint32    // changes with each sign of life
-	unanswered int       // flows that repeat packets since the last sign of life
 	aliveAt    time.Time // last sign of life
 	avoidUntil time.Time
-	silent     bool // flows are reset, new ones go elsewhere
-	tried      time.Time
+	silent     bool // a check failed: flows are reset, new ones go elsewhere
+	checking   bool
+	checkNext  time.Time
 	coldNext   time.Time // when it may get the next flow while it is cold
 }
 
@@ -90,10 +90,6 @@
 	sr.aliveAt = now
 	sr.silent = false
 	sr.avoidUntil = time.Time{}
-	if sr.unanswered > 0 {
-		sr.unanswered = 0
-		sr.epoch++
-	}
 }
 
 // load returns the flows of the server that this instance and its peers know.
--- a/core/jpdispatch/tick.go
+++ b/core/jpdispatch/tick.go
@@ -38,10 +38,6 @@
 // before does not count against servers.
 func (ds *Dispatcher) Pause(now time.Time) {
 	ds.evidence = now
-	for _, sr := range ds.servers {
-		sr.unanswered = 0
-		sr.epoch++
-	}
 }
 
 // ended returns the reset of a quiet flow whose server is gone, so that the
@@ -51,12 +47,8 @@
 	if fl.state != open || sr == nil {
 		return ResetPacket{}, false
 	}
-	reason := ServerGone
-	switch {
-	case !sr.present && ds.gone(now, sr):
-	case sr.silent:
-		reason = ServerSilent
-	default:
+	reason, unable := ds.unable(now, sr)
+	if !unable {
 		return ResetPacket{}, false
 	}
 	rs := ResetPacket{
--- a/io/jpentry/control.go
+++ b/io/jpentry/control.go
@@ -50,6 +50,7 @@
 	}
 	status, tell := en.statusDue(now)
 	neighbours := en.group.Neighbours()
+	checks := en.dispatch.Checks(now)
 	stats := en.dispatch.Stats()
 	revision := en.directory.Revision()
 	en.mu.Unlock()
@@ -58,6 +59,9 @@
 		en.logReset(rs)
 		en.sendReset(rs)
 	}
+	for _, server := range checks {
+		en.check(server)
+	}
 	if changed {
 		en.connect(neighbours)
 	}
@@ -162,6 +166,7 @@
 		Age:      max(now.Sub(en.directory.Current()), 0),
 		Steady:   max(now.Sub(en.steady(now)), 0),
 		Loads:    en.dispatch.Loads(),
+		Silent:   en.dispatch.Silent(),
 	}, true
 }
 
@@ -215,6 +220,7 @@
 		revision: ds.Revision, current: now.Add(-ds.Age), steady: now.Add(-ds.Steady), at: now,
 	}
 	en.dispatch.HandleLoads(now, from, ds.Loads)
+	checks := en.dispatch.Doubt(ds.Silent)
 	en.directory.Confirm(ds.Revision, now.Add(-ds.Age))
 	revision := en.directory.Revision()
 	ask := ds.Revision > revision && !now.Before(en.nextAsk)
@@ -222,6 +228,9 @@
 		en.nextAsk = now.Add(askInterval)
 	}
 	en.mu.Unlock()
+	for _, server := range checks {
+		en.check(server)
+	}
 	if ask {
 		en.tellPeer(from, jppeer.DirectoryRequest{Revision: revision})
 	}
--- a/io/jpentry/metrics.go
+++ b/io/jpentry/metrics.go
@@ -29,6 +29,7 @@
 	sendErrors  atomic.Uint64
 	storeErrors atomic.Uint64
 	storeCalls  atomic.Uint64
+	checks      atomic.Uint64
 	flows       atomic.Int64
 	servers     atomic.Int64
 	silent      atomic.Int64
@@ -93,6 +94,7 @@
 		{"send_errors_total", &mt.sendErrors},
 		{"store_errors_total", &mt.storeErrors},
 		{"store_calls_total", &mt.storeCalls},
+		{"checks_total", &mt.checks},
 	} {
 		sum(ct.name, nil, "", ct.from.Load())
 	}
--- a/io/jpentry/packets.go
+++ b/io/jpentry/packets.go
@@ -59,6 +59,9 @@
 	case jpdispatch.Refuse, jpdispatch.Reset:
 		en.sendReset(dc.Reset)
 	}
+	if dc.Check.ID != "" {
+		en.check(dc.Check)
+	}
 	if dc.Reason == jpdispatch.UnknownTag {
 		en.askSoon(now)
 	}
--- a/io/jppeer/directory.go
+++ b/io/jppeer/directory.go
@@ -18,6 +18,7 @@
 	Age      time.Duration // since the revision was the store's latest
 	Steady   time.Duration // for which the store has answered without a break
 	Loads    []jpdispatch.Load
+	Silent   []string // ids of servers that a check found silent
 }
 
 // DirectoryRequest asks for the changes after a revision.
@@ -39,6 +40,7 @@
 	Age      int64 // ns
 	Steady   int64 // ns
 	Loads    []wireServerLoad
+	Silent   []string
 }
 
 type wireServerLoad struct {
@@ -127,7 +129,7 @@
 func directoryStatusToWire(ds DirectoryStatus) wireDirectoryStatus {
 	wire := wireDirectoryStatus{
 		Revision: ds.Revision, Age: int64(ds.Age), Steady: int64(ds.Steady),
-		Loads: make([]wireServerLoad, 0, len(ds.Loads)),
+		Loads: make([]wireServerLoad, 0, len(ds.Loads)), Silent: ds.Silent,
 	}
 	for _, ld := range ds.Loads {
 		wire.Loads = append(wire.Loads, wireServerLoad{Server: ld.Server, Flows: uint32(ld.Flows)})
@@ -139,7 +141,7 @@
 	if wire.Age < 0 || wire.Steady < 0 {
 		return DirectoryStatus{}, oops.Errorf("age %d, steady %d", wire.Age, wire.Steady)
 	}
-	ds := DirectoryStatus{Revision: wire.Revision, Age: time.Duration(wire.Age), Steady: time.Duration(wire.Steady)}
+	ds := DirectoryStatus{Revision: wire.Revision, Age: time.Duration(wire.Age), Steady: time.Duration(wire.Steady), Silent: wire.Silent}
 	for _, wl := range wire.Loads {
 		ds.Loads = append(ds.Loads, jpdispatch.Load{Server: wl.Server, Flows: int(wl.Flows)})
 	}
