Check a server whose last SYN led to nothing

A SYN without a further packet of its flow for 20 ms now leads to a check and keeps new flows away until its result.

--- a/core/jpdispatch/check.go
+++ b/core/jpdispatch/check.go
@@ -13,6 +13,20 @@
 	return sr.endpoint()
 }
 
+// asked notes a SYN to the server.
+func (sr *server) asked(now time.Time) {
+	if sr.askedAt.IsZero() {
+		sr.askedAt = now
+	}
+}
+
+// unopened tells whether a SYN to the server has led to nothing. The host of a
+// server that has crashed refuses new flows at once, so that its load falls and
+// it would attract all of them.
+func (sr *server) unopened(now time.Time) bool {
+	return !sr.askedAt.IsZero() && now.Sub(sr.askedAt) >= openWait
+}
+
 // HandleCheck takes in the result of a check: whether the server's host accepts
 // connections. A pause of this instance during the check makes a failure
 // worthless.
@@ -28,6 +42,7 @@
 		sr.checkNext = now.Add(checkGap)
 	case !began.After(ds.evidence):
 		sr.checkNext = now
+		sr.askedAt = time.Time{}
 	default:
 		sr.silent = true
 		sr.checkNext = now.Add(recheckGap)
@@ -43,7 +58,7 @@
 		if sr.checking || now.Before(sr.checkNext) {
 			continue
 		}
-		if sr.present == sr.silent && !sr.replaced {
+		if sr.present == sr.silent && !sr.replaced || sr.present && sr.unopened(now) {
 			sr.checking = true
 			list = append(list, sr.endpoint())
 		}
--- a/core/jpdispatch/place.go
+++ b/core/jpdispatch/place.go
@@ -56,6 +56,7 @@
 	}
 	fl.assign(sr)
 	fl.try(sr)
+	sr.asked(now)
 	fl.sequence, fl.sentAt, fl.seenAt = pk.Sequence, now, now
 	fl.activate()
 	return Decision{
@@ -131,7 +132,7 @@
 }
 
 func (ds *Dispatcher) doubtful(now time.Time, sr *server) bool {
-	return sr.silent || now.Before(sr.avoidUntil)
+	return sr.silent || sr.unopened(now) || now.Before(sr.avoidUntil)
 }
 
 // coldFit tells whether a cold server may get a flow from this instance now.
--- a/core/jpdispatch/server.go
+++ b/core/jpdispatch/server.go
@@ -16,6 +16,10 @@
 	// of it counts: callers repeat after 200 ms.
 	answerTime = 150 * time.Millisecond
 
+	// openWait is how long a SYN waits for the next packet of its flow before
+	// the server is in doubt: several times the 4 ms of a handshake.
+	openWait = 20 * time.Millisecond
+
 	// avoidTime is how long a server that gave no answer to a SYN is left to
 	// other flows, before it is tried again.
 	avoidTime = time.Second
@@ -45,6 +49,7 @@
 	peers    map[string]peerLoad
 
 	aliveAt    time.Time // last sign of life
+	askedAt    time.Time // first SYN since then, zero if none
 	avoidUntil time.Time
 	silent     bool // a check failed: flows are reset, new ones go elsewhere
 	checking   bool
@@ -88,6 +93,7 @@
 // alive notes a sign of life.
 func (sr *server) alive(now time.Time) {
 	sr.aliveAt = now
+	sr.askedAt = time.Time{}
 	sr.silent = false
 	sr.avoidUntil = time.Time{}
 }
