Add a stand-in for the platform and tests of the whole path

The stand-in under lab/jpplatform is written from the published protocol. Its first finding: a SYN sent before the first tick did not count as unanswered, so its copies went to a crashed server until the caller gave up; copies also went back to a server found silent if the instance had paused in between.

--- a/core/jpdispatch/place.go
+++ b/core/jpdispatch/place.go
@@ -32,7 +32,7 @@
 	if fl != nil && fl.state != opening {
 		return Decision{Outcome: Forward, Reason: Known, Server: fl.server.endpoint()}
 	}
-	if fl != nil && !ds.fair(now, fl.sentAt) {
+	if fl != nil && !ds.fair(now, fl.sentAt) && !ds.doubtful(now, fl.server) {
 		return Decision{Outcome: Forward, Reason: Known, Server: fl.server.endpoint()}
 	}
 	reason := Placed
--- a/core/jpdispatch/tick.go
+++ b/core/jpdispatch/tick.go
@@ -19,7 +19,7 @@
 // Tick expires what is old and returns the resets of flows whose servers are
 // gone. It is called ten times a second.
 func (ds *Dispatcher) Tick(now time.Time) []ResetPacket {
-	if now.Sub(ds.lastTick) > pauseTime {
+	if !ds.lastTick.IsZero() && now.Sub(ds.lastTick) > pauseTime {
 		ds.Pause(now)
 	}
 	ds.lastTick = now
--- a/io/jpentry/packets.go
+++ b/io/jpentry/packets.go
@@ -84,7 +84,7 @@
 // and for the start of each request.
 func (en *Entry) logDecision(pk jpdispatch.Packet, dc jpdispatch.Decision, revision uint64, age time.Duration) {
 	routine := dc.Outcome == jpdispatch.Forward && dc.Reason != jpdispatch.Placed && dc.Reason != jpdispatch.Moved
-	if routine && pk.Request == "" || !en.budget.take(time.Now()) {
+	if routine && pk.Request == "" && pk.Flags&jpdispatch.SYN == 0 || !en.budget.take(time.Now()) {
 		return
 	}
 	klog.InfoS("dispatch: "+dc.Reason.String(),
--- /dev/null
+++ b/lab/jpplatform/site.go
@@ -0,0 +1,238 @@
+package jpplatform
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Ports of all machines of a site.
+const (
+	trafficPort = 17001
+	readyPort   = 17002
+	controlPort = 17003
+	firstPort   = 17010
+	lastPort    = 17019
+	serverPort  = 17100
+)
+
+// Zones of a site.
+var zones = []string{"hobart", "launceston", "devonport"}
+
+// Site is a store, instances, servers and callers on loopback addresses.
+type Site struct {
+	Store     *Store
+	Servers   []*Server
+	Instances []*Instance
+	Callers   *Host
+
+	program string
+	dir     string
+	version int
+
+	mu      sync.Mutex
+	routing []*Instance // in rotation
+}
+
+// Instance is one process of the product.
+type Instance struct {
+	Zone    string
+	Address netip.Addr
+	Log     string // path
+
+	file string
+	cmd  *exec.Cmd
+	done chan struct{}
+}
+
+// StartSite starts instances in three zones, one server a zone for each of two
+// services, and a host of callers. dir takes logs and settings.
+func StartSite(program, dir string) (*Site, error) {
+	store, err := StartStore(netip.MustParseAddr("127.76.0.1"))
+	if err != nil {
+		return nil, err
+	}
+	si := &Site{Store: store, program: program, dir: dir}
+	if si.Callers, err = StartHost(netip.MustParseAddr("127.79.0.1"), trafficPort, si.route); err != nil {
+		return si, err
+	}
+	for ix, zone := range zones {
+		for iy, backend := range []string{"desk", "catalogue"} {
+			number := uint32(0xa0000000 + ix<<8 + iy)
+			if _, err := si.AddServer(number, backend, zone, serverAddress(ix, iy)); err != nil {
+				return si, err
+			}
+		}
+	}
+	si.SetRoutes(StandardRoutes()...)
+	for ix, zone := range zones {
+		in := &Instance{Zone: zone, Address: netip.AddrFrom4([4]byte{127, 77, byte(ix), 1})}
+		si.Instances = append(si.Instances, in)
+	}
+	for _, in := range si.Instances {
+		if err := si.Start(in); err != nil {
+			return si, err
+		}
+	}
+	si.SetRotation(si.Instances...)
+	return si, nil
+}
+
+func serverAddress(zone, index int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 78, byte(zone), byte(index + 1)}), serverPort)
+}
+
+// AddServer starts a server and writes its entry.
+func (si *Site) AddServer(number uint32, backend, zone string, address netip.AddrPort) (*Server, error) {
+	sr, err := StartServer(number, backend, zone, address, trafficPort)
+	if err != nil {
+		return nil, err
+	}
+	si.Servers = append(si.Servers, sr)
+	si.Store.Put("servers/"+sr.ID, sr.Entry)
+	return sr, nil
+}
+
+// Addresses of the standard routes.
+var (
+	AlertRoute    = netip.MustParseAddrPort("198.18.0.1:443")
+	OrderRoute    = netip.MustParseAddrPort("198.18.0.1:8080")
+	BrochureRoute = netip.MustParseAddrPort("198.18.0.2:443")
+)
+
+// Route is a route of the operator's manifest.
+type Route struct {
+	Address netip.AddrPort
+	Kind    string
+	Backend string
+}
+
+// StandardRoutes are the routes with which a site starts.
+func StandardRoutes() []Route {
+	return []Route{{AlertRoute, "safe", "desk"}, {OrderRoute, "unsafe", "desk"}, {BrochureRoute, "download", "catalogue"}}
+}
+
+// SetRoutes writes the next version of the manifest.
+func (si *Site) SetRoutes(routes ...Route) {
+	si.version += 3
+	var list []map[string]any
+	for ix, rt := range routes {
+		list = append(list, map[string]any{
+			"name": fmt.Sprintf("r-%d", ix), "hostname": rt.Address.Addr().String(),
+			"prefix": fmt.Sprintf("/%d/", rt.Address.Port()), "type": rt.Kind, "backend": rt.Backend,
+			"timeoutMs": 1000, "priority": 1, "maxAttempts": 2,
+		})
+	}
+	var backends []map[string]any
+	for _, name := range []string{"desk", "catalogue"} {
+		backends = append(backends, map[string]any{
+			"name": name, "healthPath": "/health", "maxConns": 2000, "protocol": "h1", "warmupS": 1.0, "warmupPerS": 0.0,
+		})
+	}
+	si.Store.Put("op/config", map[string]any{
+		"version": si.version, "routes": list, "backends": backends, "limits": map[string]any{"idleTimeoutMs": 15000},
+	})
+}
+
+// SetRotation sets the instances that get packets of callers.
+func (si *Site) SetRotation(instances ...*Instance) {
+	si.mu.Lock()
+	defer si.mu.Unlock()
+	si.routing = instances
+}
+
+// route selects an instance by the caller's port, so that nearly all flows move
+// when the rotation changes.
+func (si *Site) route(caller netip.AddrPort) netip.AddrPort {
+	si.mu.Lock()
+	defer si.mu.Unlock()
+	in := si.routing[int(caller.Port())%len(si.routing)]
+	return netip.AddrPortFrom(in.Address, trafficPort)
+}
+
+// Start starts the process of an instance.
+func (si *Site) Start(in *Instance) error {
+	in.file = filepath.Join(si.dir, in.Address.String()+".json")
+	in.Log = filepath.Join(si.dir, in.Address.String()+".log")
+	if err := os.WriteFile(in.file, si.settings(in), 0o644); err != nil {
+		return err
+	}
+	out, err := os.OpenFile(in.Log, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
+	if err != nil {
+		return err
+	}
+	defer out.Close()
+	cmd := exec.Command(si.program, "run")
+	cmd.Stdout, cmd.Stderr = out, out
+	cmd.Env = append(os.Environ(), "JACINTHPASS_NODE_FILE="+in.file, "GOMAXPROCS=2")
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	done := make(chan struct{})
+	go func() {
+		_ = cmd.Wait()
+		close(done)
+	}()
+	in.cmd, in.done = cmd, done
+	return nil
+}
+
+func (si *Site) settings(in *Instance) []byte {
+	var seeds []string
+	for _, other := range si.Instances {
+		seeds = append(seeds, netip.AddrPortFrom(other.Address, controlPort).String())
+	}
+	address := func(port uint16) string { return netip.AddrPortFrom(in.Address, port).String() }
+	text, err := json.Marshal(map[string]any{
+		"ip": in.Address.String(), "zone": in.Zone, "hashFn": "mod", "forwardMode": "echo", "nodeName": in.Address.String(),
+		"listen":        map[string]string{"dataAddr": address(trafficPort), "ready": address(readyPort), "control": address(controlPort)},
+		"internalPorts": []int{firstPort, lastPort}, "seeds": seeds,
+		"parameters": map[string]any{"graceS": 6},
+		"platform":   map[string]any{"address": si.Store.Address.String(), "forwardMode": "kv", "ttlMinMs": 1000},
+	})
+	if err != nil {
+		panic("site: settings: " + err.Error())
+	}
+	return text
+}
+
+// Signal sends a signal to the process of an instance.
+func (in *Instance) Signal(signal syscall.Signal) error { return in.cmd.Process.Signal(signal) }
+
+// Done is closed when the process ends.
+func (in *Instance) Done() <-chan struct{} { return in.done }
+
+// Ready tells whether the instance says that it takes packets.
+func (in *Instance) Ready() bool {
+	client := http.Client{Timeout: time.Second}
+	resp, err := client.Get("http://" + netip.AddrPortFrom(in.Address, readyPort).String() + "/readiness")
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// Close ends everything that the site started.
+func (si *Site) Close() {
+	for _, in := range si.Instances {
+		if in.cmd != nil {
+			_ = in.cmd.Process.Kill() // it may have ended
+			<-in.done
+		}
+	}
+	for _, sr := range si.Servers {
+		sr.Stop()
+	}
+	if si.Callers != nil {
+		si.Callers.Close()
+	}
+	si.Store.Close()
+}
--- /dev/null
+++ b/lab/jpplatform/store.go
@@ -0,0 +1,333 @@
+package jpplatform
+
+import (
+	"encoding/json"
+	"maps"
+	"net"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Store is the platform's store. Its zero value is not usable; see StartStore.
+type Store struct {
+	Address netip.AddrPort
+
+	server *http.Server
+
+	mu       sync.Mutex
+	items    map[string]storeItem
+	history  []storeItem
+	revision uint64
+	leases   map[uint64]time.Time // end of each lease
+
+	leaseCount uint64
+	changed    chan struct{} // closed at the next change
+	away       bool
+	refused    map[netip.Addr]bool // machines that are turned away
+}
+
+// storeItem is an item or its removal.
+type storeItem struct {
+	Key            string `json:"key"`
+	Value          []byte `json:"value,omitempty"`
+	Revision       uint64 `json:"revision"`
+	CreateRevision uint64 `json:"createRevision,omitempty"`
+	Lease          uint64 `json:"lease,omitempty"`
+	Tombstone      bool   `json:"tombstone,omitempty"`
+}
+
+// StartStore starts a store on a loopback address with a free port.
+func StartStore(ip netip.Addr) (*Store, error) {
+	listener, err := net.Listen("tcp", netip.AddrPortFrom(ip, 0).String())
+	if err != nil {
+		return nil, err
+	}
+	st := &Store{
+		Address: listener.Addr().(*net.TCPAddr).AddrPort(), items: map[string]storeItem{},
+		leases: map[uint64]time.Time{}, changed: make(chan struct{}), revision: 1, refused: map[netip.Addr]bool{},
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /kv-range", st.handleRange)
+	mux.HandleFunc("GET /kv-watch", st.handleWatch)
+	mux.HandleFunc("POST /kv-txn", st.handleTxn)
+	mux.HandleFunc("POST /kv-lease", st.handleLease)
+	mux.HandleFunc("POST /kv-keep/{id}", st.handleKeep)
+	mux.HandleFunc("DELETE /kv-lease-end/{id}", st.handleEnd)
+	st.server = &http.Server{Handler: st.gate(mux)}
+	go func() { _ = st.server.Serve(listener) }() // ends with Close
+	return st, nil
+}
+
+// Close ends the store.
+func (st *Store) Close() { _ = st.server.Close() }
+
+// SetAway makes the store answer 503 to everybody but Put and Remove, or ends
+// that.
+func (st *Store) SetAway(away bool) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.away = away
+	st.wake()
+}
+
+// Refuse turns a machine away, or ends that.
+func (st *Store) Refuse(ip netip.Addr, refused bool) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.refused[ip] = refused
+	st.wake()
+}
+
+// Forget drops the history, so that watches have to read everything again.
+func (st *Store) Forget() {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.history = nil
+	st.wake()
+}
+
+// Put writes a key as the operator or a server does.
+func (st *Store) Put(key string, value any) {
+	text, err := json.Marshal(value)
+	if err != nil {
+		panic("store: value of " + key + ": " + err.Error())
+	}
+	st.PutText(key, text)
+}
+
+// PutText writes any bytes.
+func (st *Store) PutText(key string, text []byte) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.put(storeItem{Key: key, Value: text})
+}
+
+// Remove removes a key.
+func (st *Store) Remove(key string) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.remove(key)
+}
+
+// Keys returns the keys with a prefix.
+func (st *Store) Keys(prefix string) []string {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.expire()
+	var keys []string
+	for key := range st.items {
+		if strings.HasPrefix(key, prefix) {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+func (st *Store) put(it storeItem) {
+	st.revision++
+	it.Revision, it.CreateRevision = st.revision, st.revision
+	if known, ok := st.items[it.Key]; ok {
+		it.CreateRevision = known.CreateRevision
+	}
+	st.items[it.Key] = it
+	st.history = append(st.history, it)
+	st.wake()
+}
+
+func (st *Store) remove(key string) {
+	if _, ok := st.items[key]; !ok {
+		return
+	}
+	st.revision++
+	delete(st.items, key)
+	st.history = append(st.history, storeItem{Key: key, Revision: st.revision, Tombstone: true})
+	st.wake()
+}
+
+func (st *Store) wake() {
+	close(st.changed)
+	st.changed = make(chan struct{})
+}
+
+// expire removes the keys of leases that have ended.
+func (st *Store) expire() {
+	for id, end := range st.leases {
+		if time.Now().Before(end) {
+			continue
+		}
+		delete(st.leases, id)
+		for key, it := range maps.Clone(st.items) {
+			if it.Lease == id {
+				st.remove(key)
+			}
+		}
+	}
+}
+
+// gate turns calls away while the store is away.
+func (st *Store) gate(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(wr http.ResponseWriter, req *http.Request) {
+		if st.closedTo(req) {
+			http.Error(wr, "away", http.StatusServiceUnavailable)
+			return
+		}
+		next.ServeHTTP(wr, req)
+	})
+}
+
+func (st *Store) closedTo(req *http.Request) bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	from, err := netip.ParseAddrPort(req.RemoteAddr)
+	return st.away || err == nil && st.refused[from.Addr()]
+}
+
+// pageItems is the size of a page, small so that tests see several.
+const pageItems = 5
+
+func (st *Store) handleRange(wr http.ResponseWriter, req *http.Request) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.expire()
+	prefix, after := req.URL.Query().Get("prefix"), req.URL.Query().Get("after")
+	items := []storeItem{}
+	truncated := false
+	for _, key := range slices.Sorted(maps.Keys(st.items)) {
+		if !strings.HasPrefix(key, prefix) || key <= after {
+			continue
+		}
+		if len(items) == pageItems {
+			truncated = true
+			break
+		}
+		items = append(items, st.items[key])
+	}
+	reply(wr, map[string]any{"items": items, "truncated": truncated, "asOf": st.revision})
+}
+
+func (st *Store) handleWatch(wr http.ResponseWriter, req *http.Request) {
+	query := req.URL.Query()
+	after, err := strconv.ParseUint(query.Get("after"), 10, 64)
+	wait, waitErr := strconv.Atoi(query.Get("waitMs"))
+	if err != nil || waitErr != nil {
+		http.Error(wr, "query", http.StatusBadRequest)
+		return
+	}
+	end := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		st.mu.Lock()
+		st.expire()
+		events, known := st.since(query.Get("prefix"), after)
+		revision, changed := st.revision, st.changed
+		st.mu.Unlock()
+		switch {
+		case st.closedTo(req):
+			http.Error(wr, "away", http.StatusServiceUnavailable)
+			return
+		case !known:
+			http.Error(wr, "history", http.StatusGone)
+			return
+		case len(events) > 0:
+			reply(wr, map[string]any{"events": events, "asOf": revision})
+			return
+		}
+		select {
+		case <-changed:
+		case <-time.After(leaseCheck):
+		case <-req.Context().Done():
+			return
+		case <-end:
+			reply(wr, map[string]any{"events": []storeItem{}, "asOf": revision})
+			return
+		}
+	}
+}
+
+// leaseCheck is how late a watch may tell the end of a lease.
+const leaseCheck = 100 * time.Millisecond
+
+// since returns the changes after a revision, or false if some are forgotten.
+func (st *Store) since(prefix string, after uint64) ([]storeItem, bool) {
+	if after < st.revision && (len(st.history) == 0 || st.history[0].Revision > after+1) {
+		return nil, false
+	}
+	var events []storeItem
+	for _, it := range st.history {
+		if it.Revision > after && strings.HasPrefix(it.Key, prefix) {
+			events = append(events, it)
+		}
+	}
+	return events, true
+}
+
+func (st *Store) handleTxn(wr http.ResponseWriter, req *http.Request) {
+	var body struct {
+		Puts []storeItem `json:"puts"`
+	}
+	if err := json.NewDecoder(req.Body).Decode(&body); err != nil {
+		http.Error(wr, err.Error(), http.StatusBadRequest)
+		return
+	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.expire()
+	for _, it := range body.Puts {
+		if _, ok := st.leases[it.Lease]; it.Lease != 0 && !ok {
+			http.Error(wr, "lease", http.StatusNotFound)
+			return
+		}
+	}
+	for _, it := range body.Puts {
+		st.put(it)
+	}
+	reply(wr, map[string]any{"revision": st.revision})
+}
+
+func (st *Store) handleLease(wr http.ResponseWriter, req *http.Request) {
+	var body struct {
+		TTLMs int64 `json:"ttlMs"`
+	}
+	if err := json.NewDecoder(req.Body).Decode(&body); err != nil {
+		http.Error(wr, err.Error(), http.StatusBadRequest)
+		return
+	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.leaseCount++
+	id := st.leaseCount
+	st.leases[id] = time.Now().Add(time.Duration(body.TTLMs) * time.Millisecond)
+	reply(wr, map[string]any{"lease": id, "ttlMs": body.TTLMs})
+}
+
+func (st *Store) handleKeep(wr http.ResponseWriter, req *http.Request) {
+	st.endLease(wr, req, time.Now().Add(time.Minute))
+}
+
+func (st *Store) handleEnd(wr http.ResponseWriter, req *http.Request) {
+	st.endLease(wr, req, time.Now())
+}
+
+// endLease sets the end of a lease.
+func (st *Store) endLease(wr http.ResponseWriter, req *http.Request, end time.Time) {
+	id, err := strconv.ParseUint(req.PathValue("id"), 10, 64)
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.expire()
+	if _, ok := st.leases[id]; err != nil || !ok {
+		http.Error(wr, "lease", http.StatusNotFound)
+		return
+	}
+	st.leases[id] = end
+	st.expire()
+	reply(wr, map[string]any{"ttlMs": 1000})
+}
+
+func reply(wr http.ResponseWriter, body any) {
+	wr.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(wr).Encode(body) // the caller has gone
+}
--- /dev/null
+++ b/test/platform_test.go
@@ -0,0 +1,289 @@
+package test
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"jacinthpass/lab/jpplatform"
+)
+
+// Bounds that the platform states, from the moment at which the store accepts a
+// change.
+const (
+	platformChange = 3 * time.Second // routes and draining servers
+	platformOut    = 5 * time.Second // a data centre that is out
+)
+
+// requestLimit is how long a request of these tests may take: two repetitions
+// of a lost packet.
+const requestLimit = time.Second
+
+// startPlatform starts a site and waits until all instances are ready.
+func startPlatform(t *testing.T) *jpplatform.Site {
+	t.Helper()
+	dir := t.TempDir()
+	si, err := jpplatform.StartSite(filepath.Join(programs, "jacinthpass-entry"), dir)
+	if si != nil {
+		t.Cleanup(func() {
+			si.Close()
+			checkPackets(t, si)
+			if t.Failed() {
+				printLogs(t, si)
+			}
+		})
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, in := range si.Instances {
+		eventually(t, "instance ready", in.Ready)
+	}
+	return si
+}
+
+// checkPackets guards against packets that were changed on the way.
+func checkPackets(t *testing.T, si *jpplatform.Site) {
+	if bad := si.Callers.Bad(); bad > 0 {
+		t.Errorf("callers got %d packets that nobody sent", bad)
+	}
+	for _, sr := range si.Servers {
+		if bad := sr.Bad(); bad > 0 {
+			t.Errorf("server %s got %d packets that nobody sent", sr.ID, bad)
+		}
+	}
+}
+
+func printLogs(t *testing.T, si *jpplatform.Site) {
+	for _, in := range si.Instances {
+		text, err := os.ReadFile(in.Log)
+		t.Logf("%s (%v):\n%s", in.Address, err, text)
+	}
+}
+
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(awaitTimeout); time.Now().Before(end); time.Sleep(pollEvery) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatalf("%s: not within %v", what, awaitTimeout)
+}
+
+// openFlows opens flows and sends a request on each.
+func openFlows(t *testing.T, si *jpplatform.Site, route netip.AddrPort, count int) []*jpplatform.Flow {
+	t.Helper()
+	flows := make([]*jpplatform.Flow, 0, count)
+	for ix := range count {
+		fl, err := si.Callers.Open(route)
+		if err != nil {
+			t.Fatalf("open flow %d: %v", ix, err)
+		}
+		if _, err := fl.Request(fmt.Sprintf("open %d", ix), requestLimit); err != nil {
+			t.Fatalf("request on flow %d: %v", ix, err)
+		}
+		flows = append(flows, fl)
+	}
+	return flows
+}
+
+// requestAll sends a request on each flow, and returns its servers by flow.
+func requestAll(t *testing.T, flows []*jpplatform.Flow, step string) []string {
+	t.Helper()
+	var servers []string
+	for ix, fl := range flows {
+		server, err := fl.Request(fmt.Sprintf("%s %d", step, ix), requestLimit)
+		if err != nil {
+			t.Errorf("%s: flow %d: %v", step, ix, err)
+		}
+		servers = append(servers, server)
+	}
+	return servers
+}
+
+// Guards G1 on the platform: flows live on while instances are killed, stop and
+// restart, also all at once while the store is away.
+func TestPlatformFlowsOutliveInstances(t *testing.T) {
+	si := startPlatform(t)
+	flows := openFlows(t, si, jpplatform.AlertRoute, 30)
+	before := requestAll(t, flows, "before")
+
+	killed := si.Instances[0]
+	if err := killed.Signal(syscall.SIGKILL); err != nil {
+		t.Fatal(err)
+	}
+	<-killed.Done()
+	si.SetRotation(si.Instances[1:]...)
+	for ix, server := range requestAll(t, flows, "killed") {
+		if server != before[ix] {
+			t.Errorf("flow %d went from %s to %s", ix, before[ix], server)
+		}
+	}
+
+	stopped := si.Instances[1]
+	if err := stopped.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	requestAll(t, flows, "stopping")
+	si.SetRotation(si.Instances[2])
+	select {
+	case <-stopped.Done():
+	case <-time.After(6 * time.Second):
+		t.Error("an instance that was asked to stop still runs after 6 s")
+	}
+	requestAll(t, flows, "stopped")
+
+	// Both come back without the store: the third one tells them everything.
+	si.Store.SetAway(true)
+	for _, in := range si.Instances[:2] {
+		if err := si.Start(in); err != nil {
+			t.Fatal(err)
+		}
+		eventually(t, "ready without the store", in.Ready)
+	}
+	si.SetRotation(si.Instances[0], si.Instances[1])
+	for ix, server := range requestAll(t, flows, "restarted") {
+		if server != before[ix] {
+			t.Errorf("flow %d went from %s to %s", ix, before[ix], server)
+		}
+	}
+}
+
+// Guards G8 and G4 on the platform: a draining server and the servers of a data
+// centre that is out get no new flows after the bound, and keep their flows.
+func TestPlatformDrainAndOut(t *testing.T) {
+	rows := []struct {
+		name   string
+		bound  time.Duration
+		change func(si *jpplatform.Site, server *jpplatform.Server)
+	}{
+		{"draining", platformChange, func(si *jpplatform.Site, server *jpplatform.Server) {
+			entry := server.Entry
+			entry.State = "draining"
+			si.Store.Put("servers/"+server.ID, entry)
+		}},
+		{"out", platformOut, func(si *jpplatform.Site, server *jpplatform.Server) {
+			si.Store.Put("op/evacuate/"+server.Entry.Zone, struct{}{})
+		}},
+		{"turned away", platformChange, func(si *jpplatform.Site, server *jpplatform.Server) {
+			// The store serves only one instance, the others learn from it.
+			for _, in := range si.Instances[:2] {
+				si.Store.Refuse(in.Address, true)
+			}
+			entry := server.Entry
+			entry.State = "draining"
+			si.Store.Put("servers/"+server.ID, entry)
+		}},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			si := startPlatform(t)
+			flows := openFlows(t, si, jpplatform.AlertRoute, 12)
+			before := requestAll(t, flows, "before")
+			server := si.Servers[0]
+			row.change(si, server)
+			time.Sleep(row.bound)
+			opened := server.Opened()
+			openFlows(t, si, jpplatform.AlertRoute, 30)
+			if more := server.Opened() - opened; more > 0 {
+				t.Errorf("%d new flows reached %s after %v", more, server.ID, row.bound)
+			}
+			for ix, after := range requestAll(t, flows, "after") {
+				if after != before[ix] {
+					t.Errorf("flow %d went from %s to %s", ix, before[ix], after)
+				}
+			}
+		})
+	}
+}
+
+// Guards G10 on the platform: a route that is added is served and one that is
+// removed is refused at once by every instance within the bound, also when the
+// store has forgotten its history.
+func TestPlatformRoutes(t *testing.T) {
+	si := startPlatform(t)
+	added := netip.MustParseAddrPort("198.18.0.9:8443")
+	if _, err := si.Callers.Open(added); !errors.Is(err, jpplatform.ErrReset) {
+		t.Errorf("a flow without a route: %v, want a reset", err)
+	}
+	routes := jpplatform.StandardRoutes()
+	si.SetRoutes(append(routes, jpplatform.Route{Address: added, Kind: "safe", Backend: "catalogue"})...)
+	time.Sleep(platformChange)
+	openFlows(t, si, added, 9)
+	si.Store.Forget()
+	si.SetRoutes(routes...)
+	time.Sleep(platformChange)
+	for range 9 {
+		if _, err := si.Callers.Open(added); !errors.Is(err, jpplatform.ErrReset) {
+			t.Errorf("a flow of a removed route: %v, want a reset", err)
+		}
+	}
+	openFlows(t, si, jpplatform.BrochureRoute, 9)
+}
+
+// Guards against new flows that go to a server that has crashed or answers
+// nothing, against open flows that wait for one in vain, and against requests
+// that run twice.
+func TestPlatformServerFails(t *testing.T) {
+	rows := []struct {
+		name string
+		fail func(sr *jpplatform.Server)
+	}{
+		{"crashed", func(sr *jpplatform.Server) { sr.Stop() }},
+		{"crashed and gone from the store", func(sr *jpplatform.Server) { sr.Stop() }},
+	}
+	for ix, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			si := startPlatform(t)
+			flows := openFlows(t, si, jpplatform.AlertRoute, 12)
+			before := requestAll(t, flows, "before")
+			failed := si.Servers[0]
+			row.fail(failed)
+			if ix == 1 {
+				si.Store.Remove("servers/" + failed.ID)
+			}
+			for at := range 20 {
+				fl, err := si.Callers.Open(jpplatform.AlertRoute)
+				if err != nil {
+					t.Errorf("open %d: %v", at, err)
+					continue
+				}
+				if _, err := fl.Request(fmt.Sprint("again ", at), requestLimit); err != nil {
+					t.Errorf("request %d: %v", at, err)
+				}
+			}
+			for at, fl := range flows {
+				if before[at] != failed.ID {
+					continue
+				}
+				if err := fl.AwaitReset(requestLimit); !errors.Is(err, jpplatform.ErrReset) {
+					t.Errorf("flow %d of the failed server: %v, want a reset", at, err)
+				}
+			}
+			for _, sr := range si.Servers {
+				for at := range flows {
+					if ran := sr.Ran(fmt.Sprint("before ", at)); ran > 1 {
+						t.Errorf("request %d ran %d times at %s", at, ran, sr.ID)
+					}
+				}
+			}
+		})
+	}
+}
+
+// Guards against an entry that cannot be read and stops the use of the others.
+func TestPlatformMalformedEntries(t *testing.T) {
+	si := startPlatform(t)
+	si.Store.PutText("servers/i-00000001", []byte("{"))
+	si.Store.PutText("servers/nobody", []byte(`{"backend":"desk"}`))
+	si.Store.PutText("servers/i-00000002", []byte(`{"backend":7,"address":[],"zone":"hobart","state":"ready"}`))
+	si.Store.PutText("servers/i-00000003", []byte(`{"backend":"desk","address":"127.78.0.1:1","zone":"hobart","state":"odd"}`))
+	time.Sleep(platformChange)
+	openFlows(t, si, jpplatform.AlertRoute, 12)
+}
