--- a/core/jprollout/rollout.go
+++ b/core/jprollout/rollout.go
@@ -81,13 +81,10 @@
 // Origin returns where the record in force came from and when it came into force.
 func (ro *Rollout) Origin() (Source, time.Time) { return ro.source, ro.since }
 
-// watchersPerDataCentre is two, so that one instance can die without a delay,
-// while the calls to the store do not grow with the number of instances.
-const watchersPerDataCentre = 2
-
 // Watchers returns the ids of the live instances of a data centre that watch the
-// store, selected by rendezvous hashing.
-func Watchers(members []jpmember.Member, dc string) []string {
+// store, at most count, selected by rendezvous hashing. The calls to the store do
+// not grow with the number of instances.
+func Watchers(members []jpmember.Member, dc string, count int) []string {
 	var ids []string
 	for _, mb := range members {
 		if mb.DataCentre == dc && mb.State == jpmember.Alive {
@@ -98,7 +95,7 @@
 		a, b := watcherWeight(ids[i]), watcherWeight(ids[j])
 		return a > b || a == b && ids[i] < ids[j]
 	})
-	return ids[:min(len(ids), watchersPerDataCentre)]
+	return ids[:min(len(ids), count)]
 }
 
 // watcherWeight mixes in a fixed text, so that watchers are selected independently
--- a/core/jprollout/rollout_test.go
+++ b/core/jprollout/rollout_test.go
@@ -58,13 +58,13 @@
 		members = append(members, jpmember.Member{ID: fmt.Sprint("i", i), DataCentre: "hobart", State: jpmember.Alive})
 	}
 	members = append(members, jpmember.Member{ID: "other", DataCentre: "devonport", State: jpmember.Alive})
-	first := Watchers(members, "hobart")
-	if len(first) != 2 || len(Watchers(members, "devonport")) != 1 || len(Watchers(members, "launceston")) != 0 {
+	first := Watchers(members, "hobart", 2)
+	if len(first) != 2 || len(Watchers(members, "devonport", 2)) != 1 || len(Watchers(members, "launceston", 2)) != 0 {
 		t.Fatalf("watchers %v", first)
 	}
 	for i, mb := range members {
 		members[i].State = jpmember.Leaving
-		next := Watchers(members, "hobart")
+		next := Watchers(members, "hobart", 2)
 		if slices.Contains(next, mb.ID) {
 			t.Errorf("%s watches although it leaves", mb.ID)
 		}
--- a/io/jpentry/follow.go
+++ b/io/jpentry/follow.go
@@ -20,7 +20,12 @@
 
 	// watchGap separates two watches, so that a series of changes takes one
 	// call. Changes have to be in force within 3 s, and peers need up to 1 s.
-	watchGap = 500 * time.Millisecond
+	watchGap = 800 * time.Millisecond
+
+	// watchersPerDataCentre is one: those of other data centres stand in for
+	// it through the peers, and in a data centre that is cut off the next one
+	// starts to watch 1.5 s after the last sign of life.
+	watchersPerDataCentre = 1
 
 	// idleCheck is how often an instance looks whether it has to watch.
 	idleCheck = 250 * time.Millisecond
@@ -92,7 +97,7 @@
 	if now.Sub(en.directory.Current()) > staleTime {
 		return true
 	}
-	return slices.Contains(jprollout.Watchers(en.view.Members, en.settings.DataCentre), en.settings.ID)
+	return slices.Contains(jprollout.Watchers(en.view.Members, en.settings.DataCentre, watchersPerDataCentre), en.settings.ID)
 }
 
 func (en *Entry) storeAnswered(up jpdirectory.Update) {
--- a/io/jpinstance/settings.go
+++ b/io/jpinstance/settings.go
@@ -22,6 +22,9 @@
 	watcherCheck    = 500 * time.Millisecond // between looks whether this instance watches
 	listInterval    = time.Second            // for the instances that follow the list
 	slowInterval    = 30 * time.Second       // for the others
+
+	// watchersPerDataCentre is two, so that one instance can die without a delay.
+	watchersPerDataCentre = 2
 )
 
 // offer brings a record into force if it is newer than the one in force.
@@ -119,7 +122,7 @@
 // follows tells whether this instance is one of the few of its data centre that
 // follow the platform. The caller holds control.mu.
 func (in *Instance) follows() bool {
-	return slices.Contains(jprollout.Watchers(in.control.view.Members, in.cfg.DataCentre), in.cfg.ID)
+	return slices.Contains(jprollout.Watchers(in.control.view.Members, in.cfg.DataCentre, watchersPerDataCentre), in.cfg.ID)
 }
 
 // followList reads the platform's instance list. While it is this instance's
