--- a/core/jpdispatch/place.go
+++ b/core/jpdispatch/place.go
@@ -11,7 +11,7 @@
 
 // remoteFlows is the lead in flows a slot that a server of another data centre
 // needs: its answers cost a round trip and traffic between data centres.
-const remoteFlows = 15
+const remoteFlows = 30
 
 // coldShare is the share of a cold server's allowance that the instances use
 // together; the rest covers instances that do not know of each other.
