Let instances take turns with a cold server

Cause: TestColdAllowance, a test of the new kind, failed: every instance sent its first flow to a cold server at once, 7 in the same second with 7 instances and 80 with 80, where 5 are allowed. It needs all servers of a service to be cold. Ruled out: the rate itself, which was shared among the instances. Each instance now has its turn by its rank among the live ones.

--- /dev/null
+++ b/core/jpdirectory/directory_test.go
@@ -0,0 +1,154 @@
+package jpdirectory
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_790_000_000, 0)
+
+func at(sec int) time.Time { return start.Add(time.Duration(sec) * time.Second) }
+
+func server(id string, revision uint64) Record {
+	return Record{Key: Key{ServerRecord, id}, Revision: revision, Server: &Server{ID: id}}
+}
+
+func removal(id string, revision uint64) Record {
+	return Record{Key: Key{ServerRecord, id}, Revision: revision}
+}
+
+func manifest(version, revision uint64) Record {
+	return Record{Key: Key{Kind: ManifestRecord}, Revision: revision, Manifest: &Manifest{Version: version}}
+}
+
+func ExampleDirectory_Since() {
+	dr := New()
+	dr.Apply(at(0), Update{Full: true, Revision: 10, Records: []Record{server("i-1", 4), server("i-2", 10)}})
+	dr.Apply(at(1), Update{Revision: 12, Records: []Record{removal("i-1", 12)}})
+	for _, rc := range dr.Since(10).Records {
+		fmt.Println(rc.Key.Name, rc.Revision, rc.Removed())
+	}
+	// Output:
+	// i-1 12 true
+}
+
+// Guards against news that arrives late or twice and takes a record back, and
+// against a version that falls.
+func TestApplyKeepsLatest(t *testing.T) {
+	rows := []struct {
+		name    string
+		updates []Update
+		servers []string
+		version uint64
+	}{
+		{"older record", []Update{
+			{Revision: 5, Records: []Record{removal("i-1", 5), manifest(3, 4)}},
+			{Revision: 4, Records: []Record{server("i-1", 3), manifest(2, 2)}},
+		}, nil, 3},
+		{"removed record returns", []Update{
+			{Revision: 5, Records: []Record{server("i-1", 3), manifest(3, 4)}},
+			{Revision: 6, Records: []Record{removal("i-1", 6)}},
+			{Revision: 7, Records: []Record{server("i-1", 7)}},
+		}, []string{"i-1"}, 3},
+		{"full update lacks a record", []Update{
+			{Revision: 5, Full: true, Records: []Record{server("i-1", 3), server("i-2", 4), manifest(3, 5)}},
+			{Revision: 8, Full: true, Records: []Record{server("i-2", 4)}},
+		}, []string{"i-2"}, 3},
+		{"full update that is older", []Update{
+			{Revision: 9, Records: []Record{server("i-1", 9), manifest(3, 5)}},
+			{Revision: 8, Full: true},
+		}, []string{"i-1"}, 3},
+		{"manifest of a lower version at a higher revision", []Update{
+			{Revision: 5, Records: []Record{manifest(9, 5)}},
+			{Revision: 6, Records: []Record{manifest(8, 6)}},
+		}, nil, 9},
+	}
+	for _, row := range rows {
+		dr := New()
+		for _, up := range row.updates {
+			dr.Apply(at(0), up)
+		}
+		var servers []string
+		for _, rc := range dr.Since(0).Records {
+			if rc.Server != nil {
+				servers = append(servers, rc.Key.Name)
+			}
+		}
+		if !reflect.DeepEqual(servers, row.servers) || dr.Manifest().Version != row.version {
+			t.Errorf("%s: servers %v, version %d; want %v, %d", row.name, servers, dr.Manifest().Version, row.servers, row.version)
+		}
+	}
+}
+
+// Guards against a peer that misses a removal because it was forgotten.
+func TestSinceAfterForgetting(t *testing.T) {
+	dr := New()
+	dr.Apply(at(0), Update{Revision: 3, Records: []Record{server("i-1", 2), server("i-2", 3)}})
+	dr.Apply(at(0), Update{Revision: 4, Records: []Record{removal("i-1", 4)}})
+	dr.Apply(at(0).Add(removalTime), Update{Revision: 5, Records: []Record{server("i-3", 5)}})
+	late := New()
+	late.Apply(at(0), Update{Revision: 3, Records: []Record{server("i-1", 2), server("i-2", 3)}})
+	up := dr.Since(late.Revision())
+	late.Apply(at(1), up)
+	if !up.Full || !late.records[Key{ServerRecord, "i-1"}].Removed() {
+		t.Errorf("full %t, records %v", up.Full, late.records)
+	}
+}
+
+// Guards against a freshness that nobody has shown.
+func TestCurrent(t *testing.T) {
+	dr := New()
+	dr.Apply(at(0), Update{Revision: 5, Current: at(0)})
+	dr.Confirm(6, at(1)) // the peer knows more: our records are not up to date
+	if !dr.Current().Equal(at(0)) {
+		t.Errorf("current at %v after a newer revision", dr.Current())
+	}
+	dr.Confirm(5, at(2))
+	dr.Confirm(4, at(1))
+	if !dr.Current().Equal(at(2)) {
+		t.Errorf("current at %v, want 2 s", dr.Current())
+	}
+}
+
+// Guards against instances that stay different: whatever parts of the store's
+// history each has seen, one exchange makes them equal.
+func TestExchangeConverges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var history []Record
+		for revision := range rapid.IntRange(1, 30).Draw(t, "changes") {
+			id := fmt.Sprint("i-", rapid.IntRange(0, 4).Draw(t, "server"))
+			rc := server(id, uint64(revision+1))
+			if rapid.Bool().Draw(t, "removed") {
+				rc = removal(id, uint64(revision+1))
+			}
+			history = append(history, rc)
+		}
+		one, two := New(), New()
+		for _, dr := range []*Directory{one, two} {
+			seen := rapid.IntRange(0, len(history)).Draw(t, "seen")
+			dr.Apply(at(0), Update{Records: history[:seen], Revision: uint64(seen)})
+		}
+		before := one.Revision()
+		one.Apply(at(1), two.Since(one.Revision()))
+		two.Apply(at(1), one.Since(two.Revision()))
+		if one.Revision() < before {
+			t.Fatalf("revision fell from %d to %d", before, one.Revision())
+		}
+		live := func(dr *Directory) map[string]uint64 {
+			list := map[string]uint64{}
+			for key, rc := range dr.records {
+				if !rc.Removed() {
+					list[key.Name] = rc.Revision
+				}
+			}
+			return list
+		}
+		if !reflect.DeepEqual(live(one), live(two)) {
+			t.Fatalf("%v and %v", live(one), live(two))
+		}
+	})
+}
--- a/core/jpdispatch/dispatcher.go
+++ b/core/jpdispatch/dispatcher.go
@@ -49,6 +49,7 @@
 type Dispatcher struct {
 	dataCentre string
 	instances  int // that may send to a cold server
+	rank       int // of this instance among them
 	known      bool
 	current    time.Time // moment at which the directory was up to date
 	steady     time.Time // since when the store has answered without a break
@@ -105,10 +106,10 @@
 	ds.current, ds.steady = current, steady
 }
 
-// SetInstances sets the number of live instances, which share the new flows
-// that a cold server may get.
-func (ds *Dispatcher) SetInstances(count int) {
-	ds.instances = max(count, 1)
+// SetInstances sets the number of live instances, which take turns in sending
+// flows to a cold server, and the rank of this one among them.
+func (ds *Dispatcher) SetInstances(rank, count int) {
+	ds.rank, ds.instances = rank, max(count, 1)
 }
 
 func (ds *Dispatcher) applyManifest(mf *jpdirectory.Manifest) {
@@ -138,6 +139,7 @@
 	for _, sr := range ds.servers {
 		if sr.cfg.DataCentre == name {
 			sr.returned = now
+			sr.turnCold(now)
 		}
 	}
 }
@@ -151,11 +153,15 @@
 		return
 	}
 	if known != nil && known.cfg.Started.Equal(cfg.Started) && known.cfg.Address == cfg.Address {
+		if cfg.WarmAt.After(known.cfg.WarmAt) {
+			known.turnCold(now)
+		}
 		known.cfg = *cfg
 		known.present = true
 		return
 	}
 	sr := newServer(*cfg)
+	sr.turnCold(now)
 	ds.replace(now, known, sr)
 	ds.servers[id] = sr
 	if other := ds.tags[sr.tag]; other == nil || !other.present || other.cfg.ID == id {
--- a/core/jpdispatch/place.go
+++ b/core/jpdispatch/place.go
@@ -13,10 +13,6 @@
 // needs: its answers cost a round trip and traffic between data centres.
 const remoteFlows = 30
 
-// coldShare is the share of a cold server's allowance that the instances use
-// together; the rest covers instances that do not know of each other.
-const coldShare = 0.5
-
 // handleSYN places a new flow, or one whose earlier SYN was not answered.
 func (ds *Dispatcher) handleSYN(now time.Time, pk Packet) Decision {
 	rt := ds.routes[pk.Route]
@@ -116,7 +112,7 @@
 		}
 	}
 	if best != nil && best.cold(now, sc) {
-		best.coldNext = now.Add(ds.coldGap(sc))
+		best.coldNext = now.Add(time.Duration(ds.instances) * coldTurn(sc))
 	}
 	return best, choices
 }
@@ -137,7 +133,8 @@
 
 // coldFit tells whether a cold server may get a flow from this instance now.
 func (ds *Dispatcher) coldFit(now time.Time, sc *service, sr *server) bool {
-	return sr.cold(now, sc) && !ds.doubtful(now, sr) && !now.Before(sr.coldNext)
+	first := sr.coldFrom.Add(time.Duration(ds.rank) * coldTurn(sc))
+	return sr.cold(now, sc) && !ds.doubtful(now, sr) && !now.Before(first) && !now.Before(sr.coldNext)
 }
 
 // suspect tells whether a warm server might answer again.
@@ -146,14 +143,13 @@
 }
 
 // minColdPerSecond is what any cold server bears, in new flows a second.
-const minColdPerSecond = 1
-
-// coldGap is the time between two flows of this instance to a cold server. The
-// allowance is divided among all instances, because they cannot always hear
-// each other.
-func (ds *Dispatcher) coldGap(sc *service) time.Duration {
-	perSecond := max(sc.cfg.ColdPerSecond*coldShare, minColdPerSecond)
-	return time.Duration(float64(ds.instances) / perSecond * float64(time.Second))
+const minColdPerSecond = 2
+
+// coldTurn is the time between two flows to a cold server, each from another
+// instance. The turns follow from the ranks alone, because instances cannot
+// always hear each other.
+func coldTurn(sc *service) time.Duration {
+	return time.Duration(float64(time.Second) / max(sc.cfg.ColdPerSecond, minColdPerSecond))
 }
 
 // pickTarget selects the service by weight. Copies of a SYN get the same one.
--- a/core/jpdispatch/server.go
+++ b/core/jpdispatch/server.go
@@ -54,7 +54,8 @@
 	silent     bool // a check failed: flows are reset, new ones go elsewhere
 	checking   bool
 	checkNext  time.Time
-	coldNext   time.Time // when it may get the next flow while it is cold
+	coldFrom   time.Time // when it was last known to turn cold
+	coldNext   time.Time // when this instance may send it the next flow while it is cold
 }
 
 type peerLoad struct {
@@ -111,6 +112,12 @@
 	return sum
 }
 
+// turnCold notes that the server may just have turned cold. Until its next turn,
+// this instance sends it nothing while it is cold.
+func (sr *server) turnCold(now time.Time) {
+	sr.coldFrom, sr.coldNext = now, time.Time{}
+}
+
 // cold tells whether the server bears only a little.
 func (sr *server) cold(now time.Time, sc *service) bool {
 	return now.Before(sr.cfg.WarmAt) || now.Before(sr.returned.Add(sc.cfg.ColdTime))
--- a/io/jpentry/control.go
+++ b/io/jpentry/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -104,7 +105,13 @@
 		}
 	}
 	en.view = view
-	en.dispatch.SetInstances(len(view.Alive()))
+	alive := view.Alive()
+	rank := slices.IndexFunc(alive, func(mb jpmember.Member) bool { return mb.ID == en.settings.ID })
+	// A leaving instance is not among them; the last rank sends least.
+	if rank < 0 {
+		rank = len(alive)
+	}
+	en.dispatch.SetInstances(rank, len(alive))
 }
 
 var stateNames = []string{
