Judge flows of a once cold server by what its owner allows now

Traced: when the server opened the third flow it had really been warm for 6.8 s, and its confirmed owner knew it as warm with an allowance of 12. The server had repeated its answer to a SYN of the cold time. The check now holds such a server to the allowance of its confirmed owner; while it is cold, or no confirmed owner takes it for warm, the cold limits stay.

--- a/core/jpsteering/simoracle_test.go
+++ b/core/jpsteering/simoracle_test.go
@@ -17,7 +17,8 @@
 //	   probes to servers that had the address before
 //	b  payload of one flow never reaches two servers
 //	c  a cold server never holds more than its cold limits by admissions made
-//	   while the instance that made them knew it to be cold
+//	   while the instance that made them knew it to be cold; once it is warm,
+//	   never more of them than its confirmed owner allows it
 //	d  no refusal of a flow whose payload a server has got
 //	e  no established flow is reset or hangs, unless its server lost it
 //	f  no new flow at a draining server, no packet at all to a server that is
@@ -174,11 +175,32 @@
 			count++
 		}
 	}
+	if warm := or.warmAllowance(ms); warm > 0 {
+		// A server that has been cold may open a flow of then long afterwards,
+		// because it repeats its answer to the SYN.
+		limit = warm
+	}
 	if co.cold && count > limit {
 		or.fail("c: s%d holds %d flows admitted while it was cold", ms.num, count)
 	}
 }
 
+// warmAllowance returns what the owner of a server lets it hold now, if the
+// server is warm, the owner knows it and is confirmed; 0 otherwise.
+func (or *oracle) warmAllowance(ms *simServer) int {
+	if or.w.now.Before(ms.coldEnd) {
+		return 0
+	}
+	for _, in := range or.w.insts {
+		for _, ss := range in.st.Status(or.w.now) {
+			if ss.Server.Address.Addr() == ms.address() && ss.Confirmed && ss.Stage == jpadmission.Warm {
+				return ss.Allowance
+			}
+		}
+	}
+	return 0
+}
+
 // refused checks a reset that a caller took for the answer to its SYN.
 func (or *oracle) refused(cl *simCaller) {
 	if or.payload[cl.conn.flow] != nil {
