--- a/cmd/jacinthpass-entry/main.go
+++ b/cmd/jacinthpass-entry/main.go
@@ -43,6 +43,9 @@
 		Short: "Run an entry instance with the settings that the platform names",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			if opts.LogPerSecond < 0 {
+				return fmt.Errorf("--log-lines %d is negative", opts.LogPerSecond)
+			}
 			path, err := platform.SettingsPath()
 			if err != nil {
 				return err
@@ -83,6 +86,7 @@
 		return err
 	}
 	defer klog.Flush()
+	opts.Log = log
 	return jpentry.Run(ctx, platform.New(path), opts, hangups(ctx))
 }
 
--- a/io/jpentry/entry.go
+++ b/io/jpentry/entry.go
@@ -31,8 +31,9 @@
 
 // Options are the product's own settings of an entry instance.
 type Options struct {
-	MetricsPort  uint16 // 0 serves no metrics
-	LogPerSecond int    // lines about packets, at most
+	MetricsPort  uint16     // 0 serves no metrics
+	LogPerSecond int        // lines about packets, at most
+	Log          *LogWriter // whose dropped lines are counted; may be nil
 }
 
 // Entry is one running entry instance.
--- a/io/jpentry/metrics.go
+++ b/io/jpentry/metrics.go
@@ -74,9 +74,13 @@
 	mt.storeCalls.Store(calls)
 }
 
+// droppedLines are the lines of the log that were left out: beyond the budget,
+// or because the log's reader was slow.
+type droppedLines struct{ budget, queue uint64 }
+
 // flush passes the growth of all sums on to a scope. done holds the parts that
 // were passed on.
-func (mt *metrics) flush(scope tally.Scope, done map[string]uint64) {
+func (mt *metrics) flush(scope tally.Scope, dropped droppedLines, done map[string]uint64) {
 	sum := func(name string, tags map[string]string, key string, value uint64) {
 		scope.Tagged(tags).Counter(name).Inc(int64(value - done[name+key]))
 		done[name+key] = value
@@ -98,6 +102,8 @@
 	} {
 		sum(ct.name, nil, "", ct.from.Load())
 	}
+	sum("log_lines_dropped_total", map[string]string{"reason": "budget"}, "budget", dropped.budget)
+	sum("log_lines_dropped_total", map[string]string{"reason": "queue"}, "queue", dropped.queue)
 	total := uint64(0)
 	for ix := range mt.handled.counts {
 		total += mt.handled.counts[ix].Load()
@@ -131,7 +137,11 @@
 	go func() {
 		done := map[string]uint64{}
 		for ctx.Err() == nil {
-			en.metrics.flush(scope, done)
+			dropped := droppedLines{budget: en.budget.omitted.Load()}
+			if en.options.Log != nil {
+				dropped.queue = en.options.Log.Dropped()
+			}
+			en.metrics.flush(scope, dropped, done)
 			sleep(ctx, metricsInterval)
 		}
 	}()
