--- a/lab/jpplatform/caller.go
+++ b/lab/jpplatform/caller.go
@@ -93,6 +93,9 @@
 
 	// Copies is the number of copies of the SYN that were sent.
 	Copies int
+	// Foreign tells whether the flow was reset by somebody other than its
+	// server.
+	Foreign bool
 }
 
 // synTimes are the times between a SYN, its copies and the end of the attempt.
@@ -161,6 +164,7 @@
 		select {
 		case ar := <-fl.packets:
 			if ar.head.Flags&flagRST != 0 {
+				fl.Foreign = ar.head.Sum == 0
 				return arrived{}, ErrReset
 			}
 			fl.echo = ar.head.Echo
--- /dev/null
+++ b/lab/jpplatform/proxy.go
@@ -0,0 +1,151 @@
+package jpplatform
+
+import (
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// Fault is what a proxy does to connections.
+type Fault uint8
+
+// Faults.
+const (
+	Pass      Fault = iota
+	Delay           // bytes arrive later
+	Refuse          // connections end with a reset, also open ones
+	Silence         // nothing arrives in either direction, also on open connections
+	MuteReply       // requests arrive, answers do not
+)
+
+// replyDelay is long beside the store's 4 ms and short beside its clients'
+// limits.
+const replyDelay = 60 * time.Millisecond
+
+// Proxy passes connections on to a target and injects faults.
+type Proxy struct {
+	Address netip.AddrPort
+
+	target   netip.AddrPort
+	listener net.Listener
+
+	mu    sync.Mutex
+	fault Fault
+	conns map[net.Conn]bool
+	old   map[net.Conn]bool // silent for good, whatever the fault is now
+}
+
+// StartProxy starts a proxy on a loopback address with a free port.
+func StartProxy(ip netip.Addr, target netip.AddrPort) (*Proxy, error) {
+	listener, err := net.Listen("tcp", netip.AddrPortFrom(ip, 0).String())
+	if err != nil {
+		return nil, err
+	}
+	px := &Proxy{
+		Address: listener.Addr().(*net.TCPAddr).AddrPort(), target: target, listener: listener,
+		conns: map[net.Conn]bool{}, old: map[net.Conn]bool{},
+	}
+	go px.accept()
+	return px, nil
+}
+
+// Set injects a fault, or ends it with Pass. Connections that were silenced stay
+// silent: the path has lost their state.
+func (px *Proxy) Set(fault Fault) {
+	px.mu.Lock()
+	defer px.mu.Unlock()
+	if px.fault == Silence {
+		for conn := range px.conns {
+			px.old[conn] = true
+		}
+	}
+	px.fault = fault
+	if fault != Refuse {
+		return
+	}
+	for conn := range px.conns {
+		reset(conn)
+	}
+}
+
+// Close ends the proxy and its connections.
+func (px *Proxy) Close() {
+	_ = px.listener.Close()
+	px.Set(Refuse)
+}
+
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // the close then sends a reset
+	}
+	_ = conn.Close()
+}
+
+func (px *Proxy) accept() {
+	for {
+		conn, err := px.listener.Accept()
+		if err != nil {
+			return
+		}
+		go px.serve(conn)
+	}
+}
+
+func (px *Proxy) serve(conn net.Conn) {
+	if px.now(conn) == Refuse {
+		reset(conn)
+		return
+	}
+	target, err := net.Dial("tcp", px.target.String())
+	if err != nil {
+		reset(conn)
+		return
+	}
+	px.mu.Lock()
+	px.conns[conn] = true
+	px.mu.Unlock()
+	done := make(chan struct{}, 2)
+	go px.copy(target, conn, conn, false, done)
+	go px.copy(conn, target, conn, true, done)
+	<-done
+	reset(conn)
+	reset(target)
+	<-done
+	px.mu.Lock()
+	delete(px.conns, conn)
+	delete(px.old, conn)
+	px.mu.Unlock()
+}
+
+// now returns the fault in force for a connection.
+func (px *Proxy) now(conn net.Conn) Fault {
+	px.mu.Lock()
+	defer px.mu.Unlock()
+	if px.old[conn] {
+		return Silence
+	}
+	return px.fault
+}
+
+// copy passes bytes in one direction.
+func (px *Proxy) copy(to io.Writer, from io.Reader, conn net.Conn, answers bool, done chan<- struct{}) {
+	defer func() { done <- struct{}{} }()
+	buffer := make([]byte, 32<<10)
+	for {
+		size, err := from.Read(buffer)
+		if err != nil {
+			return
+		}
+		switch fault := px.now(conn); {
+		case fault == Silence || fault == MuteReply && answers:
+			continue
+		case fault == Delay:
+			time.Sleep(replyDelay)
+		}
+		if _, err := to.Write(buffer[:size]); err != nil {
+			return
+		}
+	}
+}
--- a/lab/jpplatform/site.go
+++ b/lab/jpplatform/site.go
@@ -39,6 +39,8 @@
 	dir     string
 	version int
 
+	sync.Mutex // held by callers of AddServer and SetRoutes that run at once
+
 	mu      sync.Mutex
 	routing []*Instance // in rotation
 }
@@ -48,12 +50,23 @@
 	Zone    string
 	Address netip.Addr
 	Log     string // path
+	Store   *Proxy // in front of the store
 
 	file string
 	cmd  *exec.Cmd
 	done chan struct{}
 }
 
+// Running tells whether the process of the instance runs.
+func (in *Instance) Running() bool {
+	select {
+	case <-in.done:
+		return false
+	default:
+		return in.cmd != nil
+	}
+}
+
 // StartSite starts instances in three zones, one server a zone for each of two
 // services, and a host of callers. dir takes logs and settings.
 func StartSite(program, dir string) (*Site, error) {
@@ -76,6 +89,9 @@
 	si.SetRoutes(StandardRoutes()...)
 	for ix, zone := range zones {
 		in := &Instance{Zone: zone, Address: netip.AddrFrom4([4]byte{127, 77, byte(ix), 1})}
+		if in.Store, err = StartProxy(in.Address, store.Address); err != nil {
+			return si, err
+		}
 		si.Instances = append(si.Instances, in)
 	}
 	for _, in := range si.Instances {
@@ -197,7 +213,7 @@
 		"listen":        map[string]string{"dataAddr": address(trafficPort), "ready": address(readyPort), "control": address(controlPort)},
 		"internalPorts": []int{firstPort, lastPort}, "seeds": seeds,
 		"parameters": map[string]any{"graceS": 6},
-		"platform":   map[string]any{"address": si.Store.Address.String(), "forwardMode": "kv", "ttlMinMs": 1000},
+		"platform":   map[string]any{"address": in.Store.Address.String(), "forwardMode": "kv", "ttlMinMs": 1000},
 	})
 	if err != nil {
 		panic("site: settings: " + err.Error())
@@ -240,6 +256,7 @@
 // Close ends everything that the site started.
 func (si *Site) Close() {
 	for _, in := range si.Instances {
+		in.Store.Close()
 		if in.cmd != nil {
 			_ = in.cmd.Process.Kill() // it may have ended
 			<-in.done
--- a/lab/jpplatform/store.go
+++ b/lab/jpplatform/store.go
@@ -49,7 +49,7 @@
 	}
 	st := &Store{
 		Address: listener.Addr().(*net.TCPAddr).AddrPort(), items: map[string]storeItem{},
-		leases: map[uint64]time.Time{}, changed: make(chan struct{}), revision: 1, refused: map[netip.Addr]bool{},
+		leases: map[uint64]time.Time{}, changed: make(chan struct{}), revision: 1,
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /kv-range", st.handleRange)
@@ -75,14 +75,6 @@
 	st.wake()
 }
 
-// Refuse turns a machine away, or ends that.
-func (st *Store) Refuse(ip netip.Addr, refused bool) {
-	st.mu.Lock()
-	defer st.mu.Unlock()
-	st.refused[ip] = refused
-	st.wake()
-}
-
 // Forget drops the history, so that watches have to read everything again.
 func (st *Store) Forget() {
 	st.mu.Lock()
@@ -172,7 +164,7 @@
 // gate turns calls away while the store is away.
 func (st *Store) gate(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(wr http.ResponseWriter, req *http.Request) {
-		if st.closedTo(req) {
+		if st.closed() {
 			http.Error(wr, "away", http.StatusServiceUnavailable)
 			return
 		}
@@ -180,11 +172,10 @@
 	})
 }
 
-func (st *Store) closedTo(req *http.Request) bool {
+func (st *Store) closed() bool {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	from, err := netip.ParseAddrPort(req.RemoteAddr)
-	return st.away || err == nil && st.refused[from.Addr()]
+	return st.away
 }
 
 // pageItems is the size of a page, small so that tests see several.
@@ -226,7 +217,7 @@
 		revision, changed := st.revision, st.changed
 		st.mu.Unlock()
 		switch {
-		case st.closedTo(req):
+		case st.closed():
 			http.Error(wr, "away", http.StatusServiceUnavailable)
 			return
 		case !known:
--- a/test/platform_test.go
+++ b/test/platform_test.go
@@ -175,7 +175,7 @@
 		{"turned away", platformChange, func(si *jpplatform.Site, server *jpplatform.Server) {
 			// The store serves only one instance, the others learn from it.
 			for _, in := range si.Instances[:2] {
-				si.Store.Refuse(in.Address, true)
+				in.Store.Set(jpplatform.Refuse)
 			}
 			entry := server.Entry
 			entry.State = "draining"
