--- a/core/jpdirectory/record.go
+++ b/core/jpdirectory/record.go
@@ -103,4 +103,5 @@
 	ID         string
 	DataCentre string
 	Peer       netip.AddrPort
+	Lease      uint64 // that its entry ends with, 0 if not known
 }
--- a/io/jpentry/control.go
+++ b/io/jpentry/control.go
@@ -291,6 +291,7 @@
 		en.listInstances(now)
 	}
 	if after := en.directory.Manifest(); before == nil && after != nil {
+		close(en.known)
 		klog.InfoS("entry: ready", "version", after.Version, "revision", en.directory.Revision(), "source", source)
 		en.timeline.Add("entry", "instance_ready", en.settings.ID, source)
 	}
--- a/io/jpentry/entry.go
+++ b/io/jpentry/entry.go
@@ -49,7 +49,8 @@
 	budget   *lineBudget
 
 	stopping atomic.Bool
-	lastSeen atomic.Int64 // time of the last packet of a caller, Unix ns
+	lastSeen atomic.Int64  // time of the last packet of a caller, Unix ns
+	known    chan struct{} // closed when there is a manifest
 
 	mu        sync.Mutex // guards what follows
 	dispatch  *jpdispatch.Dispatcher
@@ -118,6 +119,7 @@
 		dispatch:  jpdispatch.New(settings.DataCentre),
 		directory: jpdirectory.New(),
 		statuses:  map[string]peerStatus{},
+		known:     make(chan struct{}),
 	}
 	en.store.Store(&storeHandle{pf.OpenStore(settings.Store), settings.Store})
 	self := jpmember.Member{
--- a/io/jpentry/follow.go
+++ b/io/jpentry/follow.go
@@ -127,17 +127,25 @@
 }
 
 const (
-	// leaseTime ends the registration of an instance that died. It is several
-	// renewals long, because the store may be away for seconds.
-	leaseTime = 10 * time.Second
+	// leaseTime ends the registration of an instance that is gone. Whether it
+	// lives, its peers find out by themselves.
+	leaseTime = 30 * time.Second
 
-	// renewInterval leaves two further attempts before the lease ends.
-	renewInterval = 3 * time.Second
+	// renewInterval leaves one further attempt before the lease ends, and
+	// outages of the store of several seconds.
+	renewInterval = 10 * time.Second
 )
 
-// register keeps this instance's entry in the store until ctx ends.
+// register keeps this instance's entry in the store until ctx ends. An entry of
+// an earlier process is taken over with its lease, and a planned stop leaves it
+// to the next one: calls to the store are paid for.
 func (en *Entry) register(ctx context.Context) {
-	var lease uint64
+	select {
+	case <-ctx.Done():
+		return
+	case <-en.known:
+	}
+	lease := en.ownLease()
 	for ctx.Err() == nil {
 		err := en.renew(ctx, &lease)
 		switch {
@@ -150,22 +158,21 @@
 		default:
 			sleep(ctx, renewInterval)
 		}
-		if en.stopping.Load() {
-			break
-		}
-	}
-	if lease == 0 {
-		return
-	}
-	limit, cancel := context.WithTimeout(context.WithoutCancel(ctx), endTimeout)
-	defer cancel()
-	if err := en.store.Load().End(limit, lease); err != nil {
-		klog.InfoS("store: registration was not removed, its lease will end", "err", err)
 	}
 }
 
-// endTimeout bounds the last call of a stop.
-const endTimeout = 300 * time.Millisecond
+// ownLease returns the lease of the entry that an earlier process of this
+// instance has left, or 0.
+func (en *Entry) ownLease() uint64 {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	for _, in := range en.directory.Instances() {
+		if in.ID == en.settings.ID && in.DataCentre == en.settings.DataCentre && in.Peer == en.settings.Peer {
+			return in.Lease
+		}
+	}
+	return 0
+}
 
 // renew registers this instance, or renews its registration.
 func (en *Entry) renew(ctx context.Context, lease *uint64) error {
--- a/io/jpentry/settings.go
+++ b/io/jpentry/settings.go
@@ -49,8 +49,6 @@
 	Renew(ctx context.Context, lease uint64) error
 	// Register writes the entry of an instance, which ends with the lease.
 	Register(ctx context.Context, in jpdirectory.Instance, lease uint64) error
-	// End ends a lease.
-	End(ctx context.Context, lease uint64) error
 	// Calls returns how many calls were made.
 	Calls() uint64
 	// Close closes idle connections.
--- a/lab/jpplatform/store.go
+++ b/lab/jpplatform/store.go
@@ -57,7 +57,6 @@
 	mux.HandleFunc("POST /kv-txn", st.handleTxn)
 	mux.HandleFunc("POST /kv-lease", st.handleLease)
 	mux.HandleFunc("POST /kv-keep/{id}", st.handleKeep)
-	mux.HandleFunc("DELETE /kv-lease-end/{id}", st.handleEnd)
 	st.server = &http.Server{Handler: st.gate(mux)}
 	go func() { _ = st.server.Serve(listener) }() // ends with Close
 	return st, nil
@@ -120,6 +119,13 @@
 	return keys
 }
 
+// Leases returns how many leases were started.
+func (st *Store) Leases() uint64 {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.leaseCount
+}
+
 func (st *Store) put(it storeItem) {
 	st.revision++
 	it.Revision, it.CreateRevision = st.revision, st.revision
@@ -295,16 +301,8 @@
 	reply(wr, map[string]any{"lease": id, "ttlMs": body.TTLMs})
 }
 
+// handleKeep renews a lease, for longer than any test runs.
 func (st *Store) handleKeep(wr http.ResponseWriter, req *http.Request) {
-	st.endLease(wr, req, time.Now().Add(time.Minute))
-}
-
-func (st *Store) handleEnd(wr http.ResponseWriter, req *http.Request) {
-	st.endLease(wr, req, time.Now())
-}
-
-// endLease sets the end of a lease.
-func (st *Store) endLease(wr http.ResponseWriter, req *http.Request, end time.Time) {
 	id, err := strconv.ParseUint(req.PathValue("id"), 10, 64)
 	st.mu.Lock()
 	defer st.mu.Unlock()
@@ -313,8 +311,7 @@
 		http.Error(wr, "lease", http.StatusNotFound)
 		return
 	}
-	st.leases[id] = end
-	st.expire()
+	st.leases[id] = time.Now().Add(time.Hour)
 	reply(wr, map[string]any{"ttlMs": 1000})
 }
 
--- a/test/platform_test.go
+++ b/test/platform_test.go
@@ -278,6 +278,30 @@
 	}
 }
 
+// Guards against calls to the store that grow with restarts: a process takes
+// over the registration of its predecessor.
+func TestPlatformRegistration(t *testing.T) {
+	si := startPlatform(t)
+	registered := func() bool { return len(si.Store.Keys("jacinthpass/instances/")) == len(si.Instances) }
+	eventually(t, "all instances registered", registered)
+	leases := si.Store.Leases()
+	for _, signal := range []syscall.Signal{syscall.SIGKILL, syscall.SIGTERM} {
+		in := si.Instances[0]
+		if err := in.Signal(signal); err != nil {
+			t.Fatal(err)
+		}
+		<-in.Done()
+		if err := si.Start(in); err != nil {
+			t.Fatal(err)
+		}
+		eventually(t, "instance ready", in.Ready)
+		time.Sleep(time.Second)
+		if !registered() || si.Store.Leases() != leases {
+			t.Errorf("after %v: %d leases, %d before", signal, si.Store.Leases(), leases)
+		}
+	}
+}
+
 // Guards against a failure that cannot be explained afterwards: the log names
 // the server of a request by its id, the time line and the metrics of any
 // instance are served.
