--- a/core/jpdispatch/dispatcher_test.go
+++ b/core/jpdispatch/dispatcher_test.go
@@ -471,7 +471,7 @@
 		t.Errorf("flows %v", count)
 	}
 	peer := newRig(t, desk(1, home), desk(2, home))
-	peer.HandleLoads(at(0), "10.0.0.2", []Load{{Server: "i-1", Flows: 40}})
+	peer.HandleLoads(at(0), "10.0.0.2", []Load{{Tag: 1, Flows: 40}})
 	for range 30 {
 		if _, sr := peer.open(at(1)); sr.ID != "i-2" {
 			t.Fatalf("a flow went to the server that a peer has filled")
--- a/core/jpdispatch/server.go
+++ b/core/jpdispatch/server.go
@@ -125,8 +125,8 @@
 
 // Load is the number of active flows of a server at one instance.
 type Load struct {
-	Server string // id
-	Flows  int
+	Tag   uint32 // of the server
+	Flows int
 }
 
 // Loads returns the loads of the servers for peers.
@@ -134,17 +134,17 @@
 	var list []Load
 	for _, sr := range ds.servers {
 		if sr.present && sr.flows > 0 {
-			list = append(list, Load{Server: sr.cfg.ID, Flows: sr.flows})
+			list = append(list, Load{Tag: sr.tag, Flows: sr.flows})
 		}
 	}
-	slices.SortFunc(list, func(a, b Load) int { return cmp.Compare(a.Server, b.Server) })
+	slices.SortFunc(list, func(a, b Load) int { return cmp.Compare(a.Tag, b.Tag) })
 	return list
 }
 
 // HandleLoads takes over the loads that a peer told.
 func (ds *Dispatcher) HandleLoads(now time.Time, peer string, loads []Load) {
 	for _, ld := range loads {
-		if sr := ds.servers[ld.Server]; sr != nil {
+		if sr := ds.tags[ld.Tag]; sr != nil {
 			sr.peers[peer] = peerLoad{flows: ld.Flows, until: now.Add(loadTime)}
 		}
 	}
--- a/io/jpentry/control.go
+++ b/io/jpentry/control.go
@@ -70,8 +70,15 @@
 		en.tellPeer(ad.To, jppeer.Heartbeat{Member: ad.Heartbeat})
 	}
 	if tell {
+		// Servers of other data centres need a lead that loads seldom reach.
+		far := status
+		far.Loads = nil
 		for _, mb := range neighbours {
-			en.tellPeer(mb.ID, status)
+			if mb.DataCentre == en.settings.DataCentre {
+				en.tellPeer(mb.ID, status)
+			} else {
+				en.tellPeer(mb.ID, far)
+			}
 		}
 	}
 	en.metrics.setState(stats, revision, en.store.Load().Calls())
--- a/io/jppeer/directory.go
+++ b/io/jppeer/directory.go
@@ -10,9 +10,9 @@
 	"jacinthpass/core/jpdispatch"
 )
 
-// DirectoryStatus tells how far the sender's directory is, and the loads that
-// its flows put on servers. It is sent to each neighbour twice a second and
-// after each change.
+// DirectoryStatus tells how far the sender's directory is, and to instances of
+// its own data centre the loads that its flows put on servers. It is sent to each
+// neighbour twice a second and after each change.
 type DirectoryStatus struct {
 	Revision uint64
 	Age      time.Duration // since the revision was the store's latest
@@ -44,9 +44,9 @@
 }
 
 type wireServerLoad struct {
-	_      struct{} `cbor:",toarray"`
-	Server string
-	Flows  uint32
+	_     struct{} `cbor:",toarray"`
+	Tag   uint32
+	Flows uint32
 }
 
 type wireDirectoryRequest struct {
@@ -132,7 +132,7 @@
 		Loads: make([]wireServerLoad, 0, len(ds.Loads)), Silent: ds.Silent,
 	}
 	for _, ld := range ds.Loads {
-		wire.Loads = append(wire.Loads, wireServerLoad{Server: ld.Server, Flows: uint32(ld.Flows)})
+		wire.Loads = append(wire.Loads, wireServerLoad{Tag: ld.Tag, Flows: uint32(ld.Flows)})
 	}
 	return wire
 }
@@ -143,7 +143,7 @@
 	}
 	ds := DirectoryStatus{Revision: wire.Revision, Age: time.Duration(wire.Age), Steady: time.Duration(wire.Steady), Silent: wire.Silent}
 	for _, wl := range wire.Loads {
-		ds.Loads = append(ds.Loads, jpdispatch.Load{Server: wl.Server, Flows: int(wl.Flows)})
+		ds.Loads = append(ds.Loads, jpdispatch.Load{Tag: wl.Tag, Flows: int(wl.Flows)})
 	}
 	return ds, nil
 }
--- a/io/jppeer/frame_test.go
+++ b/io/jppeer/frame_test.go
@@ -51,7 +51,7 @@
 // directorySamples have values that depend on the time at which they are sent.
 func directorySamples() []any {
 	return []any{
-		DirectoryStatus{Revision: 7, Age: time.Second, Steady: time.Minute, Loads: []jpdispatch.Load{{Server: "i-1", Flows: 3}}, Silent: []string{"i-2"}},
+		DirectoryStatus{Revision: 7, Age: time.Second, Steady: time.Minute, Loads: []jpdispatch.Load{{Tag: 1 << 31, Flows: 3}}, Silent: []string{"i-2"}},
 		DirectoryRequest{Revision: 6},
 	}
 }
