--- a/io/jpentry/entry.go
+++ b/io/jpentry/entry.go
@@ -44,6 +44,7 @@
 	conn     *net.UDPConn
 	peers    *jppeer.Node
 	store    atomic.Pointer[storeHandle]
+	started  time.Time
 	metrics  *metrics
 	timeline *jptimeline.Timeline
 	budget   *lineBudget
@@ -113,7 +114,7 @@
 		klog.InfoS("entry: read buffer stays at the system's size", "err", err)
 	}
 	en := &Entry{
-		platform: pf, settings: settings, options: opts, conn: conn,
+		platform: pf, settings: settings, options: opts, conn: conn, started: now,
 		metrics:   newMetrics(settings.ID, settings.DataCentre),
 		budget:    newLineBudget(opts.LogPerSecond),
 		dispatch:  jpdispatch.New(settings.DataCentre),
--- a/io/jpentry/follow.go
+++ b/io/jpentry/follow.go
@@ -34,6 +34,11 @@
 	// is up to date: a watch's wait and two statuses.
 	staleTime = watchWait + statusTime
 
+	// settleTime is how long a starting instance, which has just read
+	// everything, waits to hear from its peers before it counts itself among
+	// those that watch.
+	settleTime = 1500 * time.Millisecond
+
 	minRetry = 100 * time.Millisecond
 	maxRetry = time.Second // the store's outages last seconds
 )
@@ -97,6 +102,9 @@
 	if now.Sub(en.directory.Current()) > staleTime {
 		return true
 	}
+	if now.Sub(en.started) < settleTime {
+		return false
+	}
 	return slices.Contains(jprollout.Watchers(en.view.Members, en.settings.DataCentre, watchersPerDataCentre), en.settings.ID)
 }
 
