Bound the checks of servers that left and of silent ones far away

Only instances that remember flows of such a server check it now, and a silent server of another data centre is checked every 6 s.

--- a/core/jpdispatch/check.go
+++ b/core/jpdispatch/check.go
@@ -45,20 +45,24 @@
 		sr.askedAt = time.Time{}
 	default:
 		sr.silent = true
-		sr.checkNext = now.Add(recheckGap)
+		sr.checkNext = now.Add(remoteRecheckGap)
+		if sr.cfg.DataCentre == ds.dataCentre {
+			sr.checkNext = now.Add(recheckGap)
+		}
 	}
 }
 
-// Checks returns the servers that have to be checked now: those that left the
-// directory, whose flows can be ended as soon as they are known to be gone, and
-// silent ones, which may be back.
+// Checks returns the servers that have to be checked now: those with flows that
+// left the directory, whose flows can be ended as soon as they are known to be
+// gone, those whose last SYN led to nothing, and silent ones, which may be back.
 func (ds *Dispatcher) Checks(now time.Time) []Endpoint {
 	var list []Endpoint
 	for _, sr := range ds.servers {
 		if sr.checking || now.Before(sr.checkNext) {
 			continue
 		}
-		if sr.present == sr.silent && !sr.replaced || sr.present && sr.unopened(now) {
+		gone := !sr.present && !sr.silent && !sr.replaced && sr.entries > 0
+		if gone || sr.present && (sr.silent || sr.unopened(now)) {
 			sr.checking = true
 			list = append(list, sr.endpoint())
 		}
--- a/core/jpdispatch/dispatcher_test.go
+++ b/core/jpdispatch/dispatcher_test.go
@@ -392,6 +392,45 @@
 	}
 }
 
+// Guards against checks that grow with instances times servers: one that left is
+// checked only by instances that remember flows of it, and a silent one of
+// another data centre seldom.
+func TestChecksAreBounded(t *testing.T) {
+	rg := newRig(t, desk(1, home), desk(2, home), desk(3, remote))
+	_, sr := rg.open(at(0))
+	other := "i-1"
+	if sr.ID == other {
+		other = "i-2"
+	}
+	rg.remove(at(10), other)
+	if checks := rg.Checks(at(20)); len(checks) != 0 {
+		t.Errorf("checks of a server without flows: %v", checks)
+	}
+	rg.remove(at(30), sr.ID)
+	if checks := rg.Checks(at(40)); len(checks) != 1 || checks[0] != sr {
+		t.Errorf("checks %v, want %v", checks, sr)
+	}
+	rows := []struct {
+		server jpdirectory.Server
+		most   int
+	}{{desk(1, home), 7}, {desk(1, remote), 2}}
+	for _, row := range rows {
+		rg := newRig(t, row.server)
+		silent := rg.servers["i-1"].endpoint()
+		rg.HandleCheck(at(10), at(5), silent, false)
+		count := 0
+		for ms := 100; ms <= 10_000; ms += 100 {
+			for _, check := range rg.Checks(at(ms)) {
+				count++
+				rg.HandleCheck(at(ms), at(ms), check, false)
+			}
+		}
+		if count == 0 || count > row.most {
+			t.Errorf("%d checks of a silent server in %s in 10 s, want 1 to %d", count, row.server.DataCentre, row.most)
+		}
+	}
+}
+
 // Guards G6: a refusal is sent at once, only for a flow of which no server has
 // got anything, and only by an instance that knows the latest routes.
 func TestRefusals(t *testing.T) {
--- a/core/jpdispatch/flow.go
+++ b/core/jpdispatch/flow.go
@@ -30,18 +30,17 @@
 
 // flow is what this instance knows of one flow.
 type flow struct {
-	server    *server
-	state     flowState
-	active    bool // counts as load of the server
-	downloads bool
-	sequence  uint32 // of the SYN
-	ack       uint32 // last that the caller sent
-	pending   uint32 // sequence number after the data that waits for an answer
-	waiting   bool   // data waits for an answer
-	sentAt    time.Time
-	seenAt    time.Time
-	tried     [maxTried]uint32 // tags of servers that got the SYN
-	tries     int
+	server   *server
+	state    flowState
+	active   bool   // counts as load of the server
+	sequence uint32 // of the SYN
+	ack      uint32 // last that the caller sent
+	pending  uint32 // sequence number after the data that waits for an answer
+	waiting  bool   // data waits for an answer
+	sentAt   time.Time
+	seenAt   time.Time
+	tried    [maxTried]uint32 // tags of servers that got the SYN
+	tries    int
 }
 
 // activate counts the flow as load of its server.
@@ -64,11 +63,21 @@
 	if fl.server == sr {
 		return
 	}
-	fl.deactivate()
+	fl.release()
 	fl.server = sr
+	sr.entries++
 	fl.waiting = false
 }
 
+// release takes the flow from its server.
+func (fl *flow) release() {
+	fl.deactivate()
+	if fl.server != nil {
+		fl.server.entries--
+		fl.server = nil
+	}
+}
+
 func (fl *flow) hasTried(tag uint32) bool {
 	for _, tried := range fl.tried[:fl.tries] {
 		if tried == tag {
--- a/core/jpdispatch/handle.go
+++ b/core/jpdispatch/handle.go
@@ -58,7 +58,7 @@
 }
 
 func (ds *Dispatcher) drop(key FlowKey, fl *flow) {
-	fl.deactivate()
+	fl.release()
 	ds.flows.Remove(key)
 }
 
--- a/core/jpdispatch/place.go
+++ b/core/jpdispatch/place.go
@@ -48,7 +48,6 @@
 			return Decision{Outcome: Forward, Reason: reason, Server: sr.endpoint(), Choices: choices}
 		}
 		fl = added
-		fl.downloads = rt.Kind == jpdirectory.Download
 	}
 	fl.assign(sr)
 	fl.try(sr)
--- a/core/jpdispatch/server.go
+++ b/core/jpdispatch/server.go
@@ -29,8 +29,11 @@
 	// repeat a request.
 	checkGap = time.Second
 
-	// recheckGap separates two checks of a silent server.
-	recheckGap = 1500 * time.Millisecond
+	// recheckGap separates two checks of a silent server of the own data
+	// centre, remoteRecheckGap those of another one: a data centre that is cut
+	// off would be checked by all instances of all others.
+	recheckGap       = 1500 * time.Millisecond
+	remoteRecheckGap = 4 * recheckGap
 
 	// loadTime is how long a load that a peer told counts: three of its
 	// intervals.
@@ -46,6 +49,7 @@
 	leftAt   time.Time // when it left the directory
 	returned time.Time // when its data centre came back
 	flows    int       // active flows of this instance
+	entries  int       // flows that this instance remembers
 	peers    map[string]peerLoad
 
 	aliveAt    time.Time // last sign of life
--- a/core/jpdispatch/tick.go
+++ b/core/jpdispatch/tick.go
@@ -29,7 +29,11 @@
 		if rs, ended := ds.ended(now, key, fl); ended {
 			resets = append(resets, rs)
 		}
-		return ds.keep(now, fl)
+		keep := ds.keep(now, fl)
+		if !keep {
+			fl.release()
+		}
+		return keep
 	})
 	return resets
 }
