--- a/cmd/jacinthpass-entry/main_test.go
+++ b/cmd/jacinthpass-entry/main_test.go
@@ -5,6 +5,8 @@
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"jacinthpass/platform"
 )
 
 // Guards against errors that do not say what is wrong.
@@ -18,7 +20,7 @@
 		settings string
 		want     string
 	}{
-		{[]string{"run"}, "", "JACINTHPASS_NODE_FILE"},
+		{[]string{"run"}, "", platform.SettingsVariable},
 		{[]string{"run"}, "/nonexistent", "/nonexistent"},
 		{[]string{"run"}, broken, broken},
 		{[]string{"run", "--log-lines", "-1"}, broken, "--log-lines -1"},
@@ -28,7 +30,7 @@
 		{[]string{"check", broken}, "", broken},
 	}
 	for _, row := range rows {
-		t.Setenv("JACINTHPASS_NODE_FILE", row.settings)
+		t.Setenv(platform.SettingsVariable, row.settings)
 		root := newRoot()
 		root.SetArgs(row.args)
 		if err := root.Execute(); err == nil || !strings.Contains(err.Error(), row.want) {
--- a/core/jpdispatch/check.go
+++ b/core/jpdispatch/check.go
@@ -81,7 +81,8 @@
 	return list
 }
 
-// Doubt makes the next call of Checks return servers that a peer found silent.
+// Doubt returns those of the servers that a peer found silent which have to be
+// checked here: a peer's path to a server may be broken while ours is not.
 func (ds *Dispatcher) Doubt(ids []string) []Endpoint {
 	var list []Endpoint
 	for _, id := range ids {
--- a/lab/jpplatform/site.go
+++ b/lab/jpplatform/site.go
@@ -114,10 +114,38 @@
 		return nil, err
 	}
 	si.Servers = append(si.Servers, sr)
-	si.Store.Put("servers/"+sr.ID, sr.Entry)
+	si.PutEntry(sr)
 	return sr, nil
 }
 
+// PutEntry writes the entry of a server, as the server does itself.
+func (si *Site) PutEntry(sr *Server) { si.Store.Put(serverKey(sr.ID), sr.Entry) }
+
+// PutDraining writes that a server drains.
+func (si *Site) PutDraining(sr *Server) {
+	entry := sr.Entry
+	entry.State = "draining"
+	si.Store.Put(serverKey(sr.ID), entry)
+}
+
+// RemoveEntry removes the entry of a server.
+func (si *Site) RemoveEntry(sr *Server) { si.Store.Remove(serverKey(sr.ID)) }
+
+// PutMalformed writes a text that nobody can read as the entry of a server.
+func (si *Site) PutMalformed(id, text string) { si.Store.PutText(serverKey(id), []byte(text)) }
+
+func serverKey(id string) string { return "servers/" + id }
+
+// SetOut takes a data centre out, or back.
+func (si *Site) SetOut(zone string, out bool) {
+	key := "op/evacuate/" + zone
+	if !out {
+		si.Store.Remove(key)
+		return
+	}
+	si.Store.Put(key, struct{}{})
+}
+
 // Addresses of the standard routes.
 var (
 	AlertRoute    = netip.MustParseAddrPort("198.18.0.1:443")
--- a/lab/jpplatform/store.go
+++ b/lab/jpplatform/store.go
@@ -28,7 +28,6 @@
 	leaseCount uint64
 	changed    chan struct{} // closed at the next change
 	away       bool
-	refused    map[netip.Addr]bool // machines that are turned away
 }
 
 // storeItem is an item or its removal.
--- a/test/platform_test.go
+++ b/test/platform_test.go
@@ -165,21 +165,17 @@
 		change func(si *jpplatform.Site, server *jpplatform.Server)
 	}{
 		{"draining", platformChange, func(si *jpplatform.Site, server *jpplatform.Server) {
-			entry := server.Entry
-			entry.State = "draining"
-			si.Store.Put("servers/"+server.ID, entry)
+			si.PutDraining(server)
 		}},
 		{"out", platformOut, func(si *jpplatform.Site, server *jpplatform.Server) {
-			si.Store.Put("op/evacuate/"+server.Entry.Zone, struct{}{})
+			si.SetOut(server.Entry.Zone, true)
 		}},
 		{"turned away", platformChange, func(si *jpplatform.Site, server *jpplatform.Server) {
 			// The store serves only one instance, the others learn from it.
 			for _, in := range si.Instances[:2] {
 				in.Store.Set(jpplatform.Refuse)
 			}
-			entry := server.Entry
-			entry.State = "draining"
-			si.Store.Put("servers/"+server.ID, entry)
+			si.PutDraining(server)
 		}},
 	}
 	for _, row := range rows {
@@ -247,7 +243,7 @@
 			failed := si.Servers[0]
 			row.fail(failed)
 			if ix == 1 {
-				si.Store.Remove("servers/" + failed.ID)
+				si.RemoveEntry(failed)
 			}
 			for at := range 20 {
 				fl, err := si.Callers.Open(jpplatform.AlertRoute)
@@ -349,10 +345,10 @@
 // Guards against an entry that cannot be read and stops the use of the others.
 func TestPlatformMalformedEntries(t *testing.T) {
 	si := startPlatform(t)
-	si.Store.PutText("servers/i-00000001", []byte("{"))
-	si.Store.PutText("servers/nobody", []byte(`{"backend":"desk"}`))
-	si.Store.PutText("servers/i-00000002", []byte(`{"backend":7,"address":[],"zone":"hobart","state":"ready"}`))
-	si.Store.PutText("servers/i-00000003", []byte(`{"backend":"desk","address":"127.78.0.1:1","zone":"hobart","state":"odd"}`))
+	si.PutMalformed("i-00000001", "{")
+	si.PutMalformed("nobody", `{"backend":"desk"}`)
+	si.PutMalformed("i-00000002", `{"backend":7,"address":[],"zone":"hobart","state":"ready"}`)
+	si.PutMalformed("i-00000003", `{"backend":"desk","address":"127.78.0.1:1","zone":"hobart","state":"odd"}`)
 	time.Sleep(platformChange)
 	openFlows(t, si, jpplatform.AlertRoute, 12)
 }
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -293,13 +293,13 @@
 	sr := so.pick()
 	so.si.Store.SetAway(true)
 	so.disturb(length, func() {
-		so.si.Store.Remove("servers/" + sr.ID)
+		so.si.RemoveEntry(sr)
 		so.si.Store.SetAway(false)
 		time.Sleep(time.Second)
 		so.mu.Lock()
 		defer so.mu.Unlock()
 		if slices.Contains(so.live, sr) {
-			so.si.Store.Put("servers/"+sr.ID, sr.Entry)
+			so.si.PutEntry(sr)
 		}
 	})
 }
@@ -358,7 +358,7 @@
 	sr.Stop()
 	so.faults.Go(func() {
 		time.Sleep(length)
-		so.si.Store.Remove("servers/" + sr.ID)
+		so.si.RemoveEntry(sr)
 		time.Sleep(2 * time.Second)
 		backend := "desk"
 		if sr.Entry.Backend == backend {
@@ -390,9 +390,7 @@
 	if !so.lose(sr) {
 		return
 	}
-	entry := sr.Entry
-	entry.State = "draining"
-	so.si.Store.Put("servers/"+sr.ID, entry)
+	so.si.PutDraining(sr)
 	so.faults.Go(func() {
 		time.Sleep(platformChange)
 		opened, from := sr.Opened(), time.Now()
@@ -404,7 +402,7 @@
 			so.t.Errorf("%d new flows at %s, which has drained for %v", more, sr.ID, platformChange)
 		}
 		sr.Stop()
-		so.si.Store.Remove("servers/" + sr.ID)
+		so.si.RemoveEntry(sr)
 		so.add(sr.Entry.Backend, sr.Entry.Zone, netip.MustParseAddrPort(sr.Entry.Address))
 	})
 }
@@ -419,15 +417,15 @@
 	so.faults.Go(func() {
 		time.Sleep(length)
 		so.add(sr.Entry.Backend, sr.Entry.Zone, netip.MustParseAddrPort(sr.Entry.Address))
-		so.si.Store.Remove("servers/" + sr.ID)
+		so.si.RemoveEntry(sr)
 	})
 }
 
 func (so *soaker) takeOut(in *jpplatform.Instance, length time.Duration) {
-	so.si.Store.Put("op/evacuate/"+in.Zone, struct{}{})
+	so.si.SetOut(in.Zone, true)
 	so.faults.Go(func() {
 		time.Sleep(length)
-		so.si.Store.Remove("op/evacuate/" + in.Zone)
+		so.si.SetOut(in.Zone, false)
 	})
 }
 
