--- a/lab/jpplatform/caller.go
+++ b/lab/jpplatform/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
@@ -23,6 +24,10 @@
 	router  Router
 	packets *net.UDPConn
 
+	// Loss is the share of the callers' packets that are lost. It is set
+	// before the first flow.
+	Loss float64
+
 	mu       sync.Mutex
 	nextPort uint16
 	flows    map[uint16]*Flow
@@ -180,6 +185,9 @@
 func (fl *Flow) send(hd head, data string) {
 	hd.From = netip.AddrPortFrom(fl.host.address, fl.port)
 	hd.To, hd.Echo = fl.route, fl.echo
+	if rand.Float64() < fl.host.Loss {
+		return
+	}
 	to := fl.host.router(hd.From)
 	_, _ = fl.host.packets.WriteToUDPAddrPort(hd.marshal([]byte(data)), to) // a lost packet is repeated
 }
