Close an instance's sockets before its test ends

The site of a test reported the end of its instance and closed the instance's sockets afterwards, so that the next test could reserve the addresses in between. Ruled out: another run on the machine (addresses are reserved).

--- a/io/jpinstance/site_test.go
+++ b/io/jpinstance/site_test.go
@@ -171,9 +171,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	rn := &running{Instance: in, stop: cancel, done: make(chan error, 1)}
 	go func() {
-		rn.done <- in.run(ctx, listener)
+		err := in.run(ctx, listener)
+		in.sockets.Close() // before the next test may reserve the addresses
+		rn.done <- err
 		close(rn.done)
-		in.sockets.Close()
 	}()
 	st.t.Cleanup(func() {
 		cancel()
