Ask a cold server about handshakes that stayed incomplete

Cause of TestColdOwners' overload: the owner of a cold server forgot a half-open flow after 5 s and took it out of the server's counts, although the server held the connection: its answers had gone to an instance that was cut off and believed to be the owner, which completed the handshake. The next admission was then one too many.

The owner now asks the server, three times, before it gives such a flow up; the server's acknowledgement opens it, its reset ends it.

--- a/core/jpsteering/tick.go
+++ b/core/jpsteering/tick.go
@@ -126,6 +126,13 @@
 			en.marks |= markUnanswered
 			out = st.noteUnanswered(now, en.server, out)
 		}
+		if en.reached(clock) && en.probes < idleTries && en.has(markCounted) && en.server.admission.Cold() {
+			// The server may hold the flow: another instance that thinks it owns
+			// the server may have completed the handshake.
+			en.probes++
+			en.due = clock + uint32(idleInterval/time.Millisecond)
+			return append(out, probeForServer(fl, en)), true
+		}
 		return out, !en.reached(clock)
 	case phaseClosed:
 		return out, !en.reached(clock)
