Count abandoned handshakes at cold servers

Second cause of TestColdOwners' overload, seen with od-4 paused for 1.5 s by turns: a caller's repeated SYN went on to another server because od-4 did not answer, and the owner took the flow out of od-4's counts. od-4 woke, accepted the eight handshakes it had in its buffers, and the one admitted in the place of the abandoned one overloaded it.

--- a/core/jpadmission/server.go
+++ b/core/jpadmission/server.go
@@ -2,6 +2,7 @@
 package jpadmission
 
 import (
+	"slices"
 	"time"
 
 	"jacinthpass/core/jpsettings"
@@ -37,6 +38,10 @@
 	// still dead. Afterwards it is asked again: the path to it may have been
 	// broken and mended without any packet that showed it.
 	deathTrust = 3 * time.Second
+	// abandonedTime is how long a handshake that went on with another server
+	// counts at a cold one, which may only have been paused. It is the time
+	// after which a server counts as dead.
+	abandonedTime = deadAfter
 	// reportTrust is how long after a takeover the load endpoint's counts
 	// stand in for flows that the new owner has not seen yet. Afterwards the
 	// owner's own count is better than an endpoint that lags or misleads.
@@ -89,9 +94,10 @@
 	resetsUntil    time.Time
 	unanswered     int
 	nextTrial      time.Time
-	deadFrom       time.Time // when an unresponsive server counts as dead
-	unansweredAt   time.Time // the latest
-	unconfirmed    bool      // since the latest new flow
+	deadFrom       time.Time   // when an unresponsive server counts as dead
+	unansweredAt   time.Time   // the latest
+	abandoned      []time.Time // ends of handshakes that a cold server may still accept
+	unconfirmed    bool        // since the latest new flow
 	unconfirmedCap int
 	latency        latency
 }
@@ -181,10 +187,19 @@
 		return false
 	}
 	sv.resets = 0
+	sv.abandoned = nil // lost in the restart
 	sv.TurnCold(now)
 	return true
 }
 
+// Abandon notes that a handshake, which the server has not answered, goes on
+// with another server. It is called before the flow leaves the counts.
+func (sv *Server) Abandon(now time.Time) {
+	if sv.Cold() {
+		sv.abandoned = append(sv.abandoned, now.Add(abandonedTime))
+	}
+}
+
 // Unanswered notes a handshake or probe that the server did not answer in
 // time. It reports whether the server has just become unresponsive.
 func (sv *Server) Unanswered(now time.Time) bool {
@@ -223,6 +238,7 @@
 
 // Tick moves the slow start on. It reports whether the server became warm.
 func (sv *Server) Tick(now time.Time) bool {
+	sv.abandoned = slices.DeleteFunc(sv.abandoned, func(end time.Time) bool { return !now.Before(end) })
 	if !sv.known && !sv.knownFrom.IsZero() && !now.Before(sv.knownFrom) {
 		sv.known = true
 		sv.TurnCold(now)
@@ -314,22 +330,25 @@
 	return sv.Flows
 }
 
-// Observed is Load with the flows that only the load endpoint knows of.
+// Observed is Load with the abandoned handshakes and the flows that only the
+// load endpoint knows of.
 func (sv *Server) Observed(now time.Time) int {
+	load := sv.Load() + len(sv.abandoned)
 	if now.After(sv.trustUntil) {
-		return sv.Load()
+		return load
 	}
 	if sv.Kind == jpsettings.Request {
-		return sv.Requests + sv.foreignBusy
+		return load + sv.foreignBusy
 	}
-	return sv.Flows + sv.foreignFlows
+	return load + sv.foreignFlows
 }
 
 func (sv *Server) connections(now time.Time) int {
+	flows := sv.Flows + len(sv.abandoned)
 	if now.After(sv.trustUntil) {
-		return sv.Flows
+		return flows
 	}
-	return sv.Flows + sv.foreignFlows
+	return flows + sv.foreignFlows
 }
 
 // hardLimit is the limit at the current stage of the cold start.
--- a/core/jpadmission/server_test.go
+++ b/core/jpadmission/server_test.go
@@ -380,3 +380,26 @@
 	// true
 	// false
 }
+
+// Guards against a cold server that was paused, and accepts handshakes that have
+// gone on with other servers in addition to new ones.
+func TestAbandonedHandshakesCount(t *testing.T) {
+	sv := &Server{Limits: jpsettings.Limits{ColdConnections: 2, Connections: 100, ColdDuration: time.Minute}}
+	now := time.Unix(1_790_000_000, 0)
+	sv.Reset(now, true)
+	dm := Demand{Confirmed: true, Settled: true}
+	for range 2 {
+		sv.Open()
+		sv.Abandon(now)
+		sv.Release()
+		sv.Close()
+	}
+	if got := sv.Ask(now, dm); got != Full {
+		t.Errorf("verdict %v with two abandoned handshakes, want %v", got, Full)
+	}
+	now = now.Add(abandonedTime)
+	sv.Tick(now)
+	if got := sv.Ask(now, dm); got != Admit {
+		t.Errorf("verdict %v after their time, want %v", got, Admit)
+	}
+}
