Go on with a complete read of the store where it failed

Cause: 300 instances that start at the same time read 350 MB together (7 pages of 500 items each, worked out from the sizes of entries), which keeps the store's link of 1 Gbit/s busy for 3 s. Pages then exceed their second, and every instance began again with the first page. Each instance without a revision also asked a peer for everything each 300 ms, at first the three seeds, whose 202 connections at 100 instances show where the traffic goes.

A read goes on with the missing page and gives it up to 4 s after failures; peers are asked for everything only after 300 ms or a failure, once a second. When to ask is now core/jpdirectory.Requests.

Ruled out at 100 instances: instances that do not serve.

--- a/io/jpentry/control.go
+++ b/io/jpentry/control.go
@@ -18,10 +18,6 @@
 	// tellInterval separates statuses to peers without a change.
 	tellInterval = 500 * time.Millisecond
 
-	// askInterval separates requests for changes, to any peer: an answer takes
-	// 2 ms, or much longer from an instance without processor time.
-	askInterval = 300 * time.Millisecond
-
 	// statusTime is how long a peer's status counts: three intervals.
 	statusTime = 3 * tellInterval
 )
@@ -236,10 +232,7 @@
 	checks := en.dispatch.Doubt(ds.Silent)
 	en.directory.Confirm(ds.Revision, now.Add(-ds.Age))
 	revision := en.directory.Revision()
-	ask := ds.Revision > revision && !now.Before(en.nextAsk)
-	if ask {
-		en.nextAsk = now.Add(askInterval)
-	}
+	ask := en.requests.Due(now, revision, ds.Revision)
 	en.mu.Unlock()
 	for _, server := range checks {
 		en.check(server)
@@ -255,16 +248,12 @@
 	en.mu.Lock()
 	revision := en.directory.Revision()
 	peer := ""
-	if !now.Before(en.nextAsk) {
-		for id, ps := range en.statuses {
-			if ps.revision > revision {
-				peer = id
-			}
+	for id, ps := range en.statuses {
+		if en.requests.Due(now, revision, ps.revision) {
+			peer = id
+			break
 		}
 	}
-	if peer != "" {
-		en.nextAsk = now.Add(askInterval)
-	}
 	en.mu.Unlock()
 	if peer != "" {
 		en.tellPeer(peer, jppeer.DirectoryRequest{Revision: revision})
--- a/io/jpentry/follow.go
+++ b/io/jpentry/follow.go
@@ -39,6 +39,14 @@
 	// those that watch.
 	settleTime = 1500 * time.Millisecond
 
+	// callTimeout bounds a call: the store answers in 4 ms, and in 240 ms when
+	// it is slow.
+	callTimeout = time.Second
+
+	// maxPageTimeout bounds a page. If 300 instances start at the same time,
+	// what they read keeps the store's link of 1 Gbit/s busy for 3 s.
+	maxPageTimeout = 4 * time.Second
+
 	minRetry = 100 * time.Millisecond
 	maxRetry = time.Second // the store's outages last seconds
 )
@@ -48,18 +56,19 @@
 func (en *Entry) followStore(ctx context.Context) {
 	retry := minRetry
 	synced := false
+	reading := newReading(time.Now())
 	for ctx.Err() == nil {
 		if synced && !en.watches(time.Now()) {
 			sleep(ctx, idleCheck)
 			continue
 		}
-		up, err := en.fetch(ctx, synced)
+		up, err := en.fetch(ctx, synced, reading)
 		switch {
 		case ctx.Err() != nil:
 			return
 		case errors.Is(err, ErrHistoryGone):
 			klog.InfoS("store: history is gone, reading everything")
-			synced = false
+			synced, reading = false, newReading(time.Now())
 		case err != nil:
 			en.storeLost(err)
 			sleep(ctx, retry/2+rand.N(retry))
@@ -77,17 +86,58 @@
 }
 
 // fetch reads everything, or waits for the next changes.
-func (en *Entry) fetch(ctx context.Context, synced bool) (jpdirectory.Update, error) {
+func (en *Entry) fetch(ctx context.Context, synced bool, rd *reading) (jpdirectory.Update, error) {
 	store := en.store.Load()
 	if !synced {
-		return store.Read(ctx)
+		return rd.finish(ctx, store)
 	}
 	en.mu.Lock()
 	revision := en.directory.Revision()
 	en.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, callTimeout+watchWait)
+	defer cancel()
 	return store.Watch(ctx, revision, watchWait)
 }
 
+// reading is a complete read of the store. One that fails goes on with the page
+// that is missing, because many instances that read everything again would keep
+// the store busy for each other.
+type reading struct {
+	update jpdirectory.Update
+	after  string
+	limit  time.Duration // of the next page
+}
+
+func newReading(now time.Time) *reading {
+	return &reading{update: jpdirectory.Update{Full: true, Current: now}, limit: callTimeout}
+}
+
+// finish reads the missing pages. The update's revision is that of the first
+// page; later changes follow in watches.
+func (rd *reading) finish(ctx context.Context, store Store) (jpdirectory.Update, error) {
+	for {
+		page, err := rd.readPage(ctx, store)
+		if err != nil {
+			rd.limit = min(2*rd.limit, maxPageTimeout)
+			return jpdirectory.Update{}, err
+		}
+		if rd.update.Revision == 0 {
+			rd.update.Revision = page.Revision
+		}
+		rd.update.Records = append(rd.update.Records, page.Records...)
+		rd.after = page.Next
+		if rd.after == "" {
+			return rd.update, nil
+		}
+	}
+}
+
+func (rd *reading) readPage(ctx context.Context, store Store) (Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, rd.limit)
+	defer cancel()
+	return store.ReadPage(ctx, rd.after)
+}
+
 func (en *Entry) knows() bool {
 	en.mu.Lock()
 	defer en.mu.Unlock()
@@ -125,6 +175,7 @@
 	en.metrics.storeErrors.Add(1)
 	en.mu.Lock()
 	defer en.mu.Unlock()
+	en.requests.ReadFailed()
 	if en.contact.steady.IsZero() {
 		return
 	}
@@ -184,6 +235,8 @@
 
 // renew registers this instance, or renews its registration.
 func (en *Entry) renew(ctx context.Context, lease *uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	store := en.store.Load()
 	if *lease != 0 {
 		return store.Renew(ctx, *lease)
--- a/io/jpentry/settings.go
+++ b/io/jpentry/settings.go
@@ -37,11 +37,12 @@
 
 // Store is the platform's store. A call that fails may have taken effect.
 type Store interface {
-	// Read returns all records.
-	Read(ctx context.Context) (jpdirectory.Update, error)
+	// ReadPage returns the records after a key, as many as the store gives.
+	// An empty key begins with the first.
+	ReadPage(ctx context.Context, after string) (Page, error)
 	// Watch returns the changes after a revision as soon as there are any,
 	// or an update without records after the wait. The error is
-	// ErrHistoryGone if only Read can tell.
+	// ErrHistoryGone if only a complete read can tell.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (jpdirectory.Update, error)
 	// Lease starts a lease.
 	Lease(ctx context.Context, ttl time.Duration) (uint64, error)
@@ -55,6 +56,13 @@
 	Close()
 }
 
+// Page is a part of the store's contents.
+type Page struct {
+	Records  []jpdirectory.Record
+	Revision uint64 // of the store; records may be newer
+	Next     string // key after which the next page begins; empty after the last
+}
+
 // Codec translates packets.
 type Codec interface {
 	// Room is the space in bytes that ToServer needs before a packet.
