Count acknowledgements of any sequence number

Cause: an instance took a caller's first acknowledgement for an advance only if its number was below 2^31, because it was compared with 0. Half of the flows never gave a sign of life of their server and always seemed to wait for an answer, so that repeated packets led to needless checks.

--- a/core/jpdispatch/dispatcher_test.go
+++ b/core/jpdispatch/dispatcher_test.go
@@ -554,3 +554,23 @@
 		}
 	})
 }
+
+// Guards against acknowledgements that do not count because the server's sequence
+// numbers are in their upper half.
+func TestAcknowledgementsOfAnyNumber(t *testing.T) {
+	for _, first := range []uint32{1000, 1<<31 + 1, 1<<32 - 50} {
+		rg := newRig(t, desk(1, home))
+		syn := rg.syn()
+		rg.Handle(at(0), syn)
+		request := answered(syn, 1, 100)
+		request.Ack = first
+		rg.Handle(at(10), request)
+		acknowledgement := answered(syn, 1, 0)
+		acknowledgement.Sequence += 100
+		acknowledgement.Ack = first + 100
+		rg.Handle(at(40), acknowledgement)
+		if sr := rg.servers["i-1"]; !sr.aliveAt.Equal(at(40)) {
+			t.Errorf("from %d: last sign of life %v after the start, want 40 ms", first, sr.aliveAt.Sub(at(0)))
+		}
+	}
+}
--- a/core/jpdispatch/handle.go
+++ b/core/jpdispatch/handle.go
@@ -190,7 +190,7 @@
 // check necessary.
 func (ds *Dispatcher) observe(now time.Time, fl *flow, pk Packet) Endpoint {
 	sr := fl.server
-	if pk.Flags&ACK != 0 && int32(pk.Ack-fl.ack) > 0 {
+	if pk.Flags&ACK != 0 && (fl.ack == 0 || int32(pk.Ack-fl.ack) > 0) {
 		if fl.ack != 0 {
 			sr.alive(now)
 		}
