Let failing servers weigh more in the placing of new flows

A request that has waited for 0.5 s, or that its caller gave up in the last 5 s, weighs as 4 flows, told to the peers with the loads.

--- a/core/jpdispatch/dispatcher.go
+++ b/core/jpdispatch/dispatcher.go
@@ -212,6 +212,7 @@
 	Flows   int
 	Servers int
 	Silent  int // servers that answer nobody
+	Failing int // servers that leave requests without an answer
 }
 
 // Stats returns the present sums.
@@ -225,6 +226,9 @@
 		if sr.silent {
 			stats.Silent++
 		}
+		if sr.failing {
+			stats.Failing++
+		}
 	}
 	return stats
 }
--- a/core/jpdispatch/flow.go
+++ b/core/jpdispatch/flow.go
@@ -37,6 +37,7 @@
 	ack      uint32 // last that the caller sent
 	pending  uint32 // sequence number after the data that waits for an answer
 	waiting  bool   // data waits for an answer
+	stuck    bool   // and has done so for long; counted at the server
 	sentAt   time.Time
 	seenAt   time.Time
 	tried    [maxTried]uint32 // tags of servers that got the SYN
@@ -51,6 +52,7 @@
 	}
 }
 
+// deactivate takes the flow out of its server's load.
 func (fl *flow) deactivate() {
 	if fl.active {
 		fl.active = false
@@ -66,12 +68,12 @@
 	fl.release()
 	fl.server = sr
 	sr.entries++
-	fl.waiting = false
 }
 
 // release takes the flow from its server.
 func (fl *flow) release() {
 	fl.deactivate()
+	fl.answered()
 	if fl.server != nil {
 		fl.server.entries--
 		fl.server = nil
--- a/core/jpdispatch/handle.go
+++ b/core/jpdispatch/handle.go
@@ -26,7 +26,7 @@
 		return ds.late(now, fl, pk)
 	}
 	if pk.Flags&RST != 0 {
-		return ds.handleReset(key, fl, pk)
+		return ds.handleReset(now, key, fl, pk)
 	}
 	reason := Known
 	if fl == nil || fl.state == opening {
@@ -63,10 +63,11 @@
 }
 
 // handleReset passes on the end of a flow.
-func (ds *Dispatcher) handleReset(key FlowKey, fl *flow, pk Packet) Decision {
+func (ds *Dispatcher) handleReset(now time.Time, key FlowKey, fl *flow, pk Packet) Decision {
 	sr := ds.tags[pk.Tag]
 	if fl != nil {
 		sr = fl.server
+		ds.giveUp(now, fl)
 		ds.drop(key, fl)
 	}
 	if sr == nil {
@@ -137,8 +138,9 @@
 		return ds.end(now, fl, pk, reason)
 	}
 	fl.seenAt = now
-	if pk.Flags&FIN != 0 {
+	if pk.Flags&FIN != 0 && fl.state != closing {
 		fl.state = closing
+		ds.giveUp(now, fl)
 	}
 	if fl.state == closing {
 		fl.deactivate()
@@ -195,7 +197,7 @@
 			sr.alive(now)
 		}
 		fl.ack = pk.Ack
-		fl.waiting = false
+		fl.answered()
 	}
 	if pk.Length == 0 {
 		return Endpoint{}
--- a/core/jpdispatch/server.go
+++ b/core/jpdispatch/server.go
@@ -55,7 +55,10 @@
 	aliveAt    time.Time // last sign of life
 	askedAt    time.Time // first SYN since then, zero if none
 	avoidUntil time.Time
-	silent     bool // a check failed: flows are reset, new ones go elsewhere
+	stuck      int         // flows whose requests have waited for long
+	failures   []time.Time // ends of the time for which given up requests count
+	failing    bool        // as last told in Judgements
+	silent     bool        // a check failed: flows are reset, new ones go elsewhere
 	checking   bool
 	checkNext  time.Time
 	coldFrom   time.Time // when it was last known to turn cold
@@ -105,7 +108,7 @@
 
 // load returns the flows of the server that this instance and its peers know.
 func (sr *server) load(now time.Time) int {
-	sum := sr.flows
+	sum := sr.burden(now)
 	for peer, ld := range sr.peers {
 		if !now.Before(ld.until) {
 			delete(sr.peers, peer)
@@ -127,18 +130,18 @@
 	return now.Before(sr.cfg.WarmAt) || now.Before(sr.returned.Add(sc.cfg.ColdTime))
 }
 
-// Load is the number of active flows of a server at one instance.
+// Load is the load of a server at one instance.
 type Load struct {
 	Tag   uint32 // of the server
-	Flows int
+	Flows int    // active ones, and those that its failures count for
 }
 
 // Loads returns the loads of the servers for peers.
 func (ds *Dispatcher) Loads() []Load {
 	var list []Load
 	for _, sr := range ds.servers {
-		if sr.present && sr.flows > 0 {
-			list = append(list, Load{Tag: sr.tag, Flows: sr.flows})
+		if flows := sr.burden(ds.lastTick); sr.present && flows > 0 {
+			list = append(list, Load{Tag: sr.tag, Flows: flows})
 		}
 	}
 	slices.SortFunc(list, func(a, b Load) int { return cmp.Compare(a.Tag, b.Tag) })
--- a/core/jpdispatch/tick.go
+++ b/core/jpdispatch/tick.go
@@ -29,6 +29,7 @@
 		if rs, ended := ds.ended(now, key, fl); ended {
 			resets = append(resets, rs)
 		}
+		ds.noteStuck(now, fl)
 		keep := ds.keep(now, fl)
 		if !keep {
 			fl.release()
@@ -76,6 +77,7 @@
 		limit = deadTime
 	}
 	if quiet >= activeTime || quiet >= limit {
+		ds.giveUp(now, fl) // the server may have reset it
 		fl.deactivate()
 	}
 	return quiet < limit
--- a/io/jpentry/control.go
+++ b/io/jpentry/control.go
@@ -48,6 +48,7 @@
 	status, tell := en.statusDue(now)
 	neighbours := en.group.Neighbours()
 	checks := en.dispatch.Checks(now)
+	judgements := en.dispatch.Judgements(now)
 	stats := en.dispatch.Stats()
 	revision := en.directory.Revision()
 	en.mu.Unlock()
@@ -56,6 +57,9 @@
 		en.logReset(rs)
 		en.sendReset(rs)
 	}
+	for _, jd := range judgements {
+		klog.InfoS("dispatch: server", "server", jd.Server, "failing", jd.Failing, "stuck", jd.Stuck, "given_up", jd.GivenUp)
+	}
 	for _, server := range checks {
 		en.check(server)
 	}
--- a/io/jpentry/metrics.go
+++ b/io/jpentry/metrics.go
@@ -33,6 +33,7 @@
 	flows       atomic.Int64
 	servers     atomic.Int64
 	silent      atomic.Int64
+	failing     atomic.Int64
 	revision    atomic.Uint64
 	handled     durations
 }
@@ -70,6 +71,7 @@
 	mt.flows.Store(int64(stats.Flows))
 	mt.servers.Store(int64(stats.Servers))
 	mt.silent.Store(int64(stats.Silent))
+	mt.failing.Store(int64(stats.Failing))
 	mt.revision.Store(revision)
 	mt.storeCalls.Store(calls)
 }
@@ -116,6 +118,7 @@
 	scope.Gauge("flows").Update(float64(mt.flows.Load()))
 	scope.Gauge("servers").Update(float64(mt.servers.Load()))
 	scope.Gauge("silent_servers").Update(float64(mt.silent.Load()))
+	scope.Gauge("failing_servers").Update(float64(mt.failing.Load()))
 	scope.Gauge("directory_revision").Update(float64(mt.revision.Load()))
 }
 
