Simulate dispatching beside an oracle; keep flows of restarted servers

The simulation plays six instances with uneven views of servers, the store and each other: servers that start, crash, drain, start again under their id or lose their address to another service, entries that lapse while the store is away, cuts, pauses and restarts. Its oracle knows which servers live.

Cause: a server starts again under its id; until its entry arrives, instances place new flows at its address, where the new process takes them; the entry then ended all flows of the id.

--- a/core/jpdispatch/dispatcher.go
+++ b/core/jpdispatch/dispatcher.go
@@ -176,6 +176,9 @@
 	if known != nil {
 		known.leave(now)
 		known.replaced = true
+		if known.cfg.Address == next.cfg.Address && known.tag == next.tag {
+			known.restart(next, ds.current)
+		}
 	}
 	for _, sr := range ds.servers {
 		if sr.cfg.Address == next.cfg.Address {
--- a/core/jpdispatch/flow.go
+++ b/core/jpdispatch/flow.go
@@ -32,12 +32,13 @@
 type flow struct {
 	server   *server
 	state    flowState
-	active   bool   // counts as load of the server
-	sequence uint32 // of the SYN
-	ack      uint32 // last that the caller sent
-	pending  uint32 // sequence number after the data that waits for an answer
-	waiting  bool   // data waits for an answer
-	stuck    bool   // and has done so for long; counted at the server
+	active   bool      // counts as load of the server
+	sequence uint32    // of the SYN
+	ack      uint32    // last that the caller sent
+	pending  uint32    // sequence number after the data that waits for an answer
+	waiting  bool      // data waits for an answer
+	stuck    bool      // and has done so for long; counted at the server
+	begun    time.Time // first packet here
 	sentAt   time.Time
 	seenAt   time.Time
 	tried    [maxTried]uint32 // tags of servers that got the SYN
@@ -80,6 +81,14 @@
 	}
 }
 
+// follow moves a flow that may have begun after its server's restart to the
+// restarted server.
+func (fl *flow) follow() {
+	if sr := fl.server; sr != nil && sr.next != nil && !fl.begun.Before(sr.endedAt) {
+		fl.assign(sr.next)
+	}
+}
+
 func (fl *flow) hasTried(tag uint32) bool {
 	for _, tried := range fl.tried[:fl.tries] {
 		if tried == tag {
--- a/core/jpdispatch/handle.go
+++ b/core/jpdispatch/handle.go
@@ -95,6 +95,7 @@
 			// The tag alone leads to the server; only the flow's record is lost.
 			return nil, Decision{Outcome: Forward, Reason: Tagged, Server: sr.endpoint()}
 		}
+		fl.begun = now
 	}
 	fl.assign(sr)
 	fl.state = open
@@ -132,6 +133,7 @@
 
 // forward sends a packet of an open flow to its server.
 func (ds *Dispatcher) forward(now time.Time, fl *flow, pk Packet, reason Reason) Decision {
+	fl.follow()
 	sr := fl.server
 	check := ds.observe(now, fl, pk)
 	if reason, ended := ds.unable(now, sr); ended {
--- a/core/jpdispatch/place.go
+++ b/core/jpdispatch/place.go
@@ -48,6 +48,7 @@
 			return Decision{Outcome: Forward, Reason: reason, Server: sr.endpoint(), Choices: choices}
 		}
 		fl = added
+		fl.begun = now
 	}
 	fl.assign(sr)
 	fl.try(sr)
--- a/core/jpdispatch/server.go
+++ b/core/jpdispatch/server.go
@@ -46,6 +46,8 @@
 	tag      uint32
 	present  bool
 	replaced bool      // another server has its address
+	next     *server   // the same one after a restart
+	endedAt  time.Time // of a restarted one: earlier flows ended with it
 	leftAt   time.Time // when it left the directory
 	returned time.Time // when its data centre came back
 	flows    int       // active flows of this instance
@@ -98,6 +100,16 @@
 	}
 }
 
+// writeTime is how long a server that has started takes to write its entry.
+const writeTime = 2 * time.Second
+
+// restart notes that the server has started again under its id, at its address.
+// At the moment of the last directory it had not, or only just. What was opened
+// since then may belong to either process; the server resets what it lacks.
+func (sr *server) restart(next *server, current time.Time) {
+	sr.next, sr.endedAt = next, current.Add(-writeTime)
+}
+
 // alive notes a sign of life.
 func (sr *server) alive(now time.Time) {
 	sr.aliveAt = now
--- /dev/null
+++ b/core/jpdispatch/sim_test.go
@@ -0,0 +1,504 @@
+package jpdispatch
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"jacinthpass/core/jpdirectory"
+)
+
+var simSeed = flag.Uint64("dispatch.seed", 0, "only this seed of TestSimulation")
+
+const (
+	simSeeds  = 300
+	simTime   = 40 * time.Second
+	simStep   = 50 * time.Millisecond
+	simFlows  = 40
+	simLapse  = 2300 * time.Millisecond // three heartbeats of a server
+	simReturn = 2 * time.Second         // for lapsed entries after the store's outage
+	simCheck  = 120 * time.Millisecond  // of a host that does not answer
+	// simDoubt is how long a server may stay silent in the eyes of an instance
+	// after the path between them is back.
+	simDoubt = remoteRecheckGap + 2*simStep
+)
+
+var simCentres = []string{home, remote, "devonport"}
+
+// simServer is a backend server as it really is.
+type simServer struct {
+	cfg    jpdirectory.Server
+	alive  bool
+	listed bool // in the store
+}
+
+// simInstance is one instance with what it knows.
+type simInstance struct {
+	*Dispatcher
+	centre    string
+	directory *jpdirectory.Directory
+	downUntil time.Time // restarting
+	stopUntil time.Time // paused
+	cutUntil  time.Time // from the store
+	lastSync  time.Time
+	steady    time.Time
+}
+
+// simFlow is a flow that its server holds.
+type simFlow struct {
+	packet   Packet
+	server   *simServer
+	instance int
+	due      time.Time
+}
+
+// simulation is one run: servers, the store and instances with uneven views,
+// whose faults overlap, and flows whose packets come to any instance.
+type simulation struct {
+	tb        testing.TB
+	rng       *rand.Rand
+	now       time.Time
+	truth     *jpdirectory.Directory
+	revision  uint64
+	storeDown time.Time // until then
+	steady    time.Time // of the store
+	servers   []*simServer
+	instances []*simInstance
+	flows     []*simFlow
+	cuts      map[string]time.Time // data centres that are cut off, until
+	cutAt     map[string]time.Time // when the latest cut ended or will end
+	later     []simEvent
+	next      int
+	opened    int
+	broken    int
+}
+
+type simEvent struct {
+	at  time.Time
+	run func()
+}
+
+func newSimulation(tb testing.TB, seed uint64) *simulation {
+	sm := &simulation{
+		tb: tb, rng: rand.New(rand.NewPCG(seed, 3)), now: at(0), truth: jpdirectory.New(),
+		steady: at(-60_000), cuts: map[string]time.Time{}, cutAt: map[string]time.Time{},
+	}
+	sm.put(jpdirectory.Record{
+		Key: jpdirectory.Key{Kind: jpdirectory.ManifestRecord},
+		Manifest: &jpdirectory.Manifest{
+			Version: 1, IdleTimeout: 15 * time.Second,
+			Routes:   []jpdirectory.Route{{Address: route, Targets: []jpdirectory.Target{{Service: "desk", Weight: 1}}}},
+			Services: []jpdirectory.Service{{Name: "desk", MaxFlows: 2000, ColdTime: 2 * time.Second}, {Name: "catalogue", MaxFlows: 2000}},
+		},
+	})
+	for range 8 {
+		sm.start("desk", netip.AddrPort{})
+	}
+	for ix := range 6 {
+		in := &simInstance{centre: simCentres[ix%len(simCentres)]}
+		sm.instances = append(sm.instances, in)
+		sm.boot(in)
+		sm.sync(in)
+	}
+	return sm
+}
+
+// boot starts an instance that knows nothing.
+func (sm *simulation) boot(in *simInstance) {
+	in.Dispatcher, in.directory = New(in.centre), jpdirectory.New()
+	in.SetInstances(slices.Index(sm.instances, in), 6)
+	in.Tick(sm.now)
+}
+
+func (sm *simulation) put(rc jpdirectory.Record) {
+	sm.revision++
+	rc.Revision = sm.revision
+	sm.truth.Apply(sm.now, jpdirectory.Update{Records: []jpdirectory.Record{rc}, Revision: sm.revision, Current: sm.now})
+}
+
+// list writes a server's entry, or removes it.
+func (sm *simulation) list(sr *simServer, listed bool) {
+	sr.listed = listed
+	rc := jpdirectory.Record{Key: jpdirectory.Key{Kind: jpdirectory.ServerRecord, Name: sr.cfg.ID}}
+	if listed {
+		cfg := sr.cfg
+		rc.Server = &cfg
+	}
+	sm.put(rc)
+}
+
+// start starts a server, at an address that another one had if it is valid.
+func (sm *simulation) start(service string, address netip.AddrPort) {
+	sm.next++
+	sr := &simServer{alive: true, cfg: jpdirectory.Server{
+		ID: fmt.Sprintf("i-%d", sm.next), Number: uint64(sm.next), Service: service, Slots: 2,
+		DataCentre: simCentres[sm.next%len(simCentres)], Started: sm.now,
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 2, byte(sm.next >> 8), byte(sm.next)}), 80),
+	}}
+	if address.IsValid() {
+		sr.cfg.Address = address
+	}
+	if sm.now.After(at(0)) {
+		sr.cfg.WarmAt = sm.now.Add(2 * time.Second)
+	}
+	sm.servers = append(sm.servers, sr)
+	sm.list(sr, true)
+}
+
+func (sm *simulation) after(wait time.Duration, run func()) {
+	sm.later = append(sm.later, simEvent{sm.now.Add(wait), run})
+}
+
+// pick returns a living server of the service "desk", or nil if few are left.
+func (sm *simulation) pick() *simServer {
+	var list []*simServer
+	for _, sr := range sm.servers {
+		if sr.alive && sr.listed && !sr.cfg.Draining && sr.cfg.Service == "desk" {
+			list = append(list, sr)
+		}
+	}
+	if len(list) < 4 {
+		return nil
+	}
+	return list[sm.rng.IntN(len(list))]
+}
+
+// crash ends a server without a word; its entry lapses.
+func (sm *simulation) crash(sr *simServer) {
+	sr.alive = false
+	sm.after(simLapse, func() {
+		if sr.listed && !sr.alive {
+			sm.list(sr, false)
+		}
+	})
+}
+
+// storeUp tells whether the store answers.
+func (sm *simulation) storeUp() bool { return !sm.now.Before(sm.storeDown) }
+
+// fault starts one fault or piece of planned work.
+func (sm *simulation) fault() {
+	sr := sm.pick()
+	in := sm.instances[sm.rng.IntN(len(sm.instances))]
+	wait := time.Duration(500+sm.rng.IntN(5000)) * time.Millisecond
+	switch kind := sm.rng.IntN(10); {
+	case kind == 0:
+		sm.start("desk", netip.AddrPort{})
+	case kind == 1 && sr != nil:
+		sm.crash(sr)
+	case kind == 2 && sr != nil:
+		sr.cfg.Draining = true
+		sm.list(sr, true)
+		sm.after(3*time.Second+wait, func() {
+			sr.alive = false
+			sm.list(sr, false)
+		})
+	case kind == 3 && sr != nil: // its address goes to a server of another service
+		sm.crash(sr)
+		sm.after(simLapse+time.Second, func() { sm.start("catalogue", sr.cfg.Address) })
+	case kind == 4 && sr != nil: // starts again under its id
+		sr.alive = false
+		sm.after(wait/4, func() {
+			next := &simServer{cfg: sr.cfg, alive: true}
+			next.cfg.Started, next.cfg.WarmAt = sm.now, sm.now.Add(2*time.Second)
+			sr.listed = false
+			sm.servers = append(sm.servers, next)
+			sm.list(next, true)
+		})
+	case kind == 5 && sm.storeUp():
+		sm.storeDown = sm.now.Add(wait)
+		for _, sr := range sm.servers {
+			if sr.alive && sr.listed && sm.rng.IntN(2) == 0 && wait > simLapse {
+				sm.lapse(sr, wait)
+			}
+		}
+	case kind == 6:
+		in.cutUntil = sm.now.Add(wait)
+	case kind == 7:
+		in.stopUntil = sm.now.Add(wait / 2)
+	case kind == 8:
+		in.downUntil = sm.now.Add(wait / 4)
+		sm.after(wait/4, func() { sm.boot(in) })
+	case kind == 9:
+		centre := simCentres[sm.rng.IntN(len(simCentres))]
+		sm.cuts[centre] = sm.now.Add(wait)
+		sm.cutAt[centre] = sm.now.Add(wait)
+	}
+}
+
+// lapse removes the entry of a living server while the store is down.
+func (sm *simulation) lapse(sr *simServer, outage time.Duration) {
+	sm.after(simLapse, func() {
+		if sr.alive && sr.listed {
+			sm.list(sr, false)
+		}
+	})
+	sm.after(outage+time.Duration(sm.rng.Int64N(int64(simReturn-time.Second))), func() {
+		if sr.alive && !sr.listed {
+			sm.list(sr, true)
+		}
+	})
+}
+
+// sync brings an instance's directory up to date, by the store or a peer.
+func (sm *simulation) sync(in *simInstance) {
+	if !sm.storeUp() || sm.now.Before(in.cutUntil) {
+		in.steady = time.Time{}
+		in.SetCurrent(in.directory.Current(), sm.now)
+		return
+	}
+	if in.steady.IsZero() {
+		in.steady = sm.now
+	}
+	up := sm.truth.Since(in.directory.Revision())
+	up.Current = sm.now
+	in.Apply(sm.now, in.directory.Apply(sm.now, up))
+	in.SetCurrent(in.directory.Current(), in.steady)
+}
+
+// reaches tells whether packets of an instance reach a server.
+func (sm *simulation) reaches(in *simInstance, centre string) bool {
+	return in.centre == centre || !sm.now.Before(sm.cuts[in.centre]) && !sm.now.Before(sm.cuts[centre])
+}
+
+// doubts tells whether an instance may take a server for silent because the
+// path between them was cut lately.
+func (sm *simulation) doubts(in *simInstance, centre string) bool {
+	if in.centre == centre {
+		return false
+	}
+	return sm.now.Before(sm.cutAt[in.centre].Add(simDoubt)) || sm.now.Before(sm.cutAt[centre].Add(simDoubt))
+}
+
+// at returns the living server at an address.
+func (sm *simulation) at(address netip.AddrPort) *simServer {
+	for _, sr := range sm.servers {
+		if sr.alive && sr.cfg.Address == address {
+			return sr
+		}
+	}
+	return nil
+}
+
+func (sm *simulation) check(in *simInstance, server Endpoint) {
+	if server.ID == "" {
+		return
+	}
+	sr := sm.at(server.Address)
+	answered := sr != nil && sm.reaches(in, sr.cfg.DataCentre)
+	began := sm.now
+	if !answered {
+		began = began.Add(-simCheck)
+	}
+	in.HandleCheck(sm.now, began, server, answered)
+}
+
+// tickInstance does what an instance does ten times a second.
+func (sm *simulation) tickInstance(in *simInstance) {
+	for _, rs := range in.Tick(sm.now) {
+		for _, fl := range sm.flows {
+			if fl.packet.Caller == rs.Caller {
+				sm.wantReset(in, fl, rs.Reason)
+				sm.end(fl)
+				break
+			}
+		}
+	}
+	for _, server := range in.Checks(sm.now) {
+		sm.check(in, server)
+	}
+	in.Judgements(sm.now)
+	if sm.now.Sub(in.lastSync) >= time.Duration(300+sm.rng.IntN(700))*time.Millisecond {
+		in.lastSync = sm.now
+		sm.sync(in)
+	}
+	sm.checkCounts(in)
+}
+
+// wantReset guards against resets of flows whose server serves on.
+func (sm *simulation) wantReset(in *simInstance, fl *simFlow, reason Reason) {
+	if fl.server.alive && !sm.doubts(in, fl.server.cfg.DataCentre) {
+		sm.tb.Errorf("%v: a flow of %s, which lives, was reset: %v", sm.now.Sub(at(0)), fl.server.cfg.ID, reason)
+	}
+}
+
+func (sm *simulation) end(fl *simFlow) {
+	sm.flows = slices.DeleteFunc(sm.flows, func(other *simFlow) bool { return other == fl })
+	if !fl.server.alive {
+		sm.broken++
+	}
+}
+
+func (sm *simulation) up(in *simInstance) bool {
+	return !sm.now.Before(in.downUntil) && !sm.now.Before(in.stopUntil)
+}
+
+// instance returns one that is up, mostly the given one.
+func (sm *simulation) instance(number int) (int, *simInstance) {
+	for range 20 {
+		if in := sm.instances[number]; sm.up(in) {
+			return number, in
+		}
+		number = sm.rng.IntN(len(sm.instances))
+	}
+	return 0, nil
+}
+
+// open sends a SYN; the server that gets it answers if it lives.
+func (sm *simulation) open() {
+	number, in := sm.instance(sm.rng.IntN(len(sm.instances)))
+	if in == nil {
+		return
+	}
+	sm.opened++
+	syn := Packet{
+		Caller: netip.AddrPortFrom(netip.MustParseAddr("100.64.0.7"), uint16(1024+sm.opened)), Route: route,
+		Flags: SYN, Sequence: uint32(sm.opened) << 16,
+	}
+	dc := in.Handle(sm.now, syn)
+	sm.check(in, dc.Check)
+	if dc.Outcome != Forward {
+		return
+	}
+	if rc := sm.known(in, dc.Server.ID); rc == nil || rc.Draining {
+		sm.tb.Errorf("%v: a new flow went to %s, whose entry is %+v", sm.now.Sub(at(0)), dc.Server.ID, rc)
+	}
+	sr := sm.at(dc.Server.Address)
+	if sr == nil || sr.cfg.Number != dc.Server.Number || !sm.reaches(in, sr.cfg.DataCentre) {
+		return
+	}
+	packet := answered(syn, dc.Server.Tag, 100)
+	packet.Ack = sm.rng.Uint32()
+	sm.flows = append(sm.flows, &simFlow{packet: packet, server: sr, instance: number, due: sm.now.Add(simStep)})
+}
+
+// known returns the entry of a server that an instance knows.
+func (sm *simulation) known(in *simInstance, id string) *jpdirectory.Server {
+	for _, rc := range in.directory.Since(0).Records {
+		if rc.Server != nil && rc.Key.Name == id {
+			return rc.Server
+		}
+	}
+	return nil
+}
+
+// send sends the next packet of a flow and checks what becomes of it.
+func (sm *simulation) send(fl *simFlow) {
+	if sm.rng.IntN(20) == 0 {
+		fl.instance = sm.rng.IntN(len(sm.instances))
+	}
+	number, in := sm.instance(fl.instance)
+	fl.due = sm.now.Add(time.Duration(100+sm.rng.IntN(1500)) * time.Millisecond)
+	if in == nil {
+		return
+	}
+	fl.instance = number
+	dc := in.Handle(sm.now, fl.packet)
+	sm.check(in, dc.Check)
+	switch dc.Outcome {
+	case Reset, Refuse:
+		sm.wantReset(in, fl, dc.Reason)
+		sm.end(fl)
+	case Forward:
+		if dc.Server.Number != fl.server.cfg.Number || dc.Server.Address != fl.server.cfg.Address {
+			sm.tb.Errorf("%v: a packet of a flow of %s went to %s", sm.now.Sub(at(0)), fl.server.cfg.ID, dc.Server.ID)
+		}
+		if fl.server.alive && sm.reaches(in, fl.server.cfg.DataCentre) {
+			fl.packet.Sequence += uint32(fl.packet.Length)
+			fl.packet.Ack += 500
+			fl.packet.Tag = dc.Server.Tag
+		}
+	default:
+		if in.directory.Known() && sm.known(in, fl.server.cfg.ID) != nil && fl.server.alive {
+			sm.tb.Errorf("%v: a packet of a flow of %s was dropped: %v", sm.now.Sub(at(0)), fl.server.cfg.ID, dc.Reason)
+		}
+	}
+}
+
+// checkCounts recounts what an instance counts for each server.
+func (sm *simulation) checkCounts(in *simInstance) {
+	type counts struct{ flows, entries, stuck int }
+	want := map[*server]counts{}
+	in.Dispatcher.flows.Sweep(1<<20, func(_ FlowKey, fl *flow) bool {
+		if fl.server != nil {
+			ct := want[fl.server]
+			ct.entries++
+			if fl.active {
+				ct.flows++
+			}
+			if fl.stuck {
+				ct.stuck++
+			}
+			want[fl.server] = ct
+		}
+		return true
+	})
+	for _, sr := range in.Dispatcher.servers {
+		if got := (counts{sr.flows, sr.entries, sr.stuck}); got != want[sr] {
+			sm.tb.Errorf("%v: %s counts %+v, its flows make %+v", sm.now.Sub(at(0)), sr.cfg.ID, got, want[sr])
+		}
+	}
+}
+
+func (sm *simulation) run() {
+	nextFault := at(3000)
+	for ; sm.now.Before(at(0).Add(simTime)); sm.now = sm.now.Add(simStep) {
+		due := sm.later
+		sm.later = nil
+		for _, ev := range due {
+			if sm.now.Before(ev.at) {
+				sm.later = append(sm.later, ev)
+				continue
+			}
+			ev.run()
+		}
+		if !sm.now.Before(nextFault) {
+			sm.fault()
+			nextFault = sm.now.Add(time.Duration(100+sm.rng.IntN(2500)) * time.Millisecond)
+		}
+		for _, in := range sm.instances {
+			if sm.up(in) {
+				sm.tickInstance(in)
+			}
+		}
+		for len(sm.flows) < simFlows && sm.rng.IntN(4) > 0 {
+			sm.open()
+		}
+		for _, fl := range slices.Clone(sm.flows) {
+			if !sm.now.Before(fl.due) {
+				sm.send(fl)
+			}
+		}
+	}
+}
+
+// TestSimulation plays instances with uneven views beside an oracle that knows
+// which servers live: flows of living servers are neither reset nor sent
+// elsewhere, packets are dropped only where the server is not known, and new
+// flows go to no server that drains or has left, as far as the instance knows.
+func TestSimulation(t *testing.T) {
+	seeds := []uint64{}
+	for seed := range uint64(simSeeds) {
+		seeds = append(seeds, seed+1)
+	}
+	if *simSeed != 0 {
+		seeds = []uint64{*simSeed}
+	}
+	opened, broken := 0, 0
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			sm := newSimulation(t, seed)
+			sm.run()
+			opened += sm.opened
+			broken += sm.broken
+		})
+	}
+	t.Logf("%d flows, %d of them ended by resets after their servers had died", opened, broken)
+	if !t.Failed() && broken == 0 {
+		t.Error("no flow of a dead server was reset")
+	}
+}
--- a/core/jpdispatch/tick.go
+++ b/core/jpdispatch/tick.go
@@ -48,6 +48,7 @@
 // ended returns the reset of a quiet flow whose server is gone, so that the
 // caller's next request opens a new one instead of waiting in vain.
 func (ds *Dispatcher) ended(now time.Time, key FlowKey, fl *flow) (ResetPacket, bool) {
+	fl.follow()
 	sr := fl.server
 	if fl.state != open || sr == nil {
 		return ResetPacket{}, false
