Take no probe's answer for an open flow

The answer now only keeps the flow in the counts of the cold server; where the flow is, the caller's packets show as before.

--- a/core/jpsteering/cold_test.go
+++ b/core/jpsteering/cold_test.go
@@ -123,3 +123,17 @@
 		}
 	}
 }
+
+// Guards against a flow that is tied to a server which only has a late copy of its
+// SYN: such a server answers probes as one that holds the flow does.
+func TestColdServerHalfOpen(t *testing.T) {
+	rg := newRig(t, jpsettings.Stream, 1)
+	fl := rg.flow("s0")
+	rg.turnCold("s0")
+	rg.send("h0", fromCaller(fl, syn, callerISN, 0, 0))
+	rg.wait(6 * time.Second)
+	rg.reply("h0", "s0", fromServer(fl, ack, serverISN+1, callerISN+1, 0))
+	rg.log = nil
+	rg.send("h0", data(fl))
+	rg.step("data of the caller", "h0>s0 ACK")
+}
--- a/core/jpsteering/reply.go
+++ b/core/jpsteering/reply.go
@@ -71,33 +71,27 @@
 	case en.phase == phaseHalfOpen && reset && en.serverNext == 0:
 		pk.shed(en)
 	case en.phase == phaseHalfOpen && en.probes > 0 && pk.bare():
-		// The server holds it; the caller's packets went through another instance.
-		pk.confirmOpen(en)
-		st.trackServer(st.clock(pk.now), en, pk.hd)
+		// The server holds it, open or half-open: the caller's packets went through
+		// another instance, or the caller is with another server by now.
+		en.probes = 0
 		pk.drop(DropProbeAnswer)
 	case en.phase == phaseHalfOpen && pk.bare():
 		// The server refuses a segment; the caller knows nothing of this handshake.
 		pk.drop(DropCrossedAnswer)
 	case en.phase == phaseHalfOpen && pk.hd.Payload > 0:
 		// Only an established connection carries data.
-		pk.confirmOpen(en)
+		st.setPhase(en, phaseOpen)
+		delete(st.held, pk.flow)
+		if en.serverNext == 0 {
+			// The handshake was answered through another instance.
+			en.serverNext = wellBefore(pk.hd.Sequence)
+		}
 		pk.forwardAnswer(en, reset)
 	default:
 		pk.forwardAnswer(en, reset)
 	}
 }
 
-// confirmOpen notes that the server has shown that it holds a half-open flow.
-func (pk *passage) confirmOpen(en *entry) {
-	pk.st.setPhase(en, phaseOpen)
-	en.probes = 0
-	delete(pk.st.held, pk.flow)
-	if en.serverNext == 0 {
-		// The handshake was answered through another instance.
-		en.serverNext = wellBefore(pk.hd.Sequence)
-	}
-}
-
 // bare tells whether the packet is a mere acknowledgement.
 func (pk *passage) bare() bool {
 	return pk.hd.Protocol == protocolTCP && pk.hd.Payload == 0 && pk.hd.Flags&^jppacket.PSH == jppacket.ACK
