Split the tests of the dispatcher by concern

Checks and resets are in check_test.go, the rig in rig_test.go; every line still stands. The stand-in's callers no longer count lost packets, which nobody read.

--- /dev/null
+++ b/core/jpdispatch/check_test.go
@@ -0,0 +1,196 @@
+package jpdispatch
+
+import (
+	"testing"
+	"time"
+
+	"jacinthpass/core/jpdirectory"
+)
+
+// Guards against a crashed server that attracts all new flows because it ends
+// them at once.
+func TestCrashedServerAttractsNothing(t *testing.T) {
+	rg := newRig(t, desk(1, home), desk(2, home), desk(3, home))
+	reached, first := 0, ""
+	for n := range 100 {
+		now := at(10 * n)
+		syn := rg.syn()
+		dc := rg.want(rg.Handle(now, syn), Forward, Placed)
+		if first == "" {
+			first = dc.Server.ID // it has crashed
+		}
+		if dc.Server.ID == first {
+			reached++
+			continue
+		}
+		rg.Handle(now.Add(4*time.Millisecond), answered(syn, dc.Server.Tag, 0))
+	}
+	if reached > 3 {
+		t.Errorf("%d of 100 new flows went to the crashed server", reached)
+	}
+	checks := rg.Checks(at(1000))
+	if len(checks) != 1 || checks[0].ID != first {
+		t.Errorf("servers to check %v, want %s", checks, first)
+	}
+}
+
+// Guards against resets of flows whose server lives: repeated requests, an
+// inconclusive check or a lapsed entry are no proof, and against callers that
+// wait for a server that is known to be gone.
+func TestResets(t *testing.T) {
+	rows := []struct {
+		name   string
+		events func(rg *rig, syn Packet, sr Endpoint)
+		reset  bool
+	}{
+		{"repeated requests", func(rg *rig, syn Packet, sr Endpoint) {
+			for ms := 100; ms < 2000; ms += 200 {
+				rg.Handle(at(ms), answered(syn, sr.Tag, 500))
+			}
+		}, false},
+		{"check failed", func(rg *rig, _ Packet, sr Endpoint) {
+			rg.HandleCheck(at(100), at(50), sr, false)
+		}, true},
+		{"check failed during a pause", func(rg *rig, _ Packet, sr Endpoint) {
+			rg.Pause(at(80))
+			rg.HandleCheck(at(100), at(50), sr, false)
+		}, false},
+		{"check failed, then answered", func(rg *rig, _ Packet, sr Endpoint) {
+			rg.HandleCheck(at(100), at(50), sr, false)
+			rg.HandleCheck(at(110), at(105), sr, true)
+		}, false},
+		{"entry lapsed 3 s ago", func(rg *rig, _ Packet, sr Endpoint) {
+			rg.remove(at(-1000), sr.ID)
+		}, false},
+		{"entry gone for 4 s", func(rg *rig, _ Packet, sr Endpoint) {
+			rg.remove(at(-2000), sr.ID)
+		}, true},
+		{"entry gone for 4 s while the store was away", func(rg *rig, _ Packet, sr Endpoint) {
+			rg.remove(at(-2000), sr.ID)
+			rg.SetCurrent(at(2000), at(0))
+		}, false},
+		{"address has another server", func(rg *rig, _ Packet, sr Endpoint) {
+			next := desk(7, home)
+			next.Address = sr.Address
+			rg.server(at(10), next)
+		}, true},
+		{"started again under its id, known to have run 2 s after the flow began", func(rg *rig, _ Packet, sr Endpoint) {
+			rg.fresh(at(2001))
+			next := desk(1, home)
+			next.Started = at(0)
+			rg.server(at(10), next)
+		}, true},
+		{"started again under its id, perhaps before the flow began", func(rg *rig, _ Packet, sr Endpoint) {
+			rg.fresh(at(1999))
+			next := desk(1, home)
+			next.Started = at(0)
+			rg.server(at(10), next)
+		}, false},
+	}
+	for _, row := range rows {
+		rg := newRig(t, desk(1, home))
+		syn, sr := rg.open(at(0))
+		rg.fresh(at(2000))
+		row.events(rg, syn, sr)
+		resets := rg.run(at(100), at(2000))
+		if len(resets) > 0 != row.reset {
+			t.Errorf("%s: resets %v, want one: %t", row.name, resets, row.reset)
+		}
+		for _, rs := range resets {
+			if rs.Caller != syn.Caller || rs.Route != syn.Route || rs.Sequence != 1000 {
+				t.Errorf("%s: reset %+v does not fit the flow", row.name, rs)
+			}
+		}
+	}
+}
+
+// Guards against checks that grow with instances times servers: one that left is
+// checked only by instances that remember flows of it, and a silent one of
+// another data centre seldom.
+func TestChecksAreBounded(t *testing.T) {
+	rg := newRig(t, desk(1, home), desk(2, home), desk(3, remote))
+	_, sr := rg.open(at(0))
+	other := "i-1"
+	if sr.ID == other {
+		other = "i-2"
+	}
+	rg.remove(at(10), other)
+	if checks := rg.Checks(at(20)); len(checks) != 0 {
+		t.Errorf("checks of a server without flows: %v", checks)
+	}
+	rg.remove(at(30), sr.ID)
+	if checks := rg.Checks(at(40)); len(checks) != 1 || checks[0] != sr {
+		t.Errorf("checks %v, want %v", checks, sr)
+	}
+	rows := []struct {
+		server jpdirectory.Server
+		most   int
+	}{{desk(1, home), 7}, {desk(1, remote), 2}}
+	for _, row := range rows {
+		rg := newRig(t, row.server)
+		silent := rg.servers["i-1"].endpoint()
+		rg.HandleCheck(at(10), at(5), silent, false)
+		count := 0
+		for ms := 100; ms <= 10_000; ms += 100 {
+			for _, check := range rg.Checks(at(ms)) {
+				count++
+				rg.HandleCheck(at(ms), at(ms), check, false)
+			}
+		}
+		if count == 0 || count > row.most {
+			t.Errorf("%d checks of a silent server in %s in 10 s, want 1 to %d", count, row.server.DataCentre, row.most)
+		}
+	}
+}
+
+// Guards against acknowledgements that do not count because the server's sequence
+// numbers are in their upper half.
+func TestAcknowledgementsOfAnyNumber(t *testing.T) {
+	for _, first := range []uint32{1000, 1<<31 + 1, 1<<32 - 50} {
+		rg := newRig(t, desk(1, home))
+		syn := rg.syn()
+		rg.Handle(at(0), syn)
+		request := answered(syn, 1, 100)
+		request.Ack = first
+		rg.Handle(at(10), request)
+		acknowledgement := answered(syn, 1, 0)
+		acknowledgement.Sequence += 100
+		acknowledgement.Ack = first + 100
+		rg.Handle(at(40), acknowledgement)
+		if sr := rg.servers["i-1"]; !sr.aliveAt.Equal(at(40)) {
+			t.Errorf("from %d: last sign of life %v after the start, want 40 ms", first, sr.aliveAt.Sub(at(0)))
+		}
+	}
+}
+
+// Guards against a flow that is reset because its server was silent before the
+// flow came here: the server may have started again.
+func TestSilentBeforeFlow(t *testing.T) {
+	for _, answers := range []bool{false, true} {
+		rg := newRig(t, desk(1, home))
+		sr := rg.servers["i-1"].endpoint()
+		rg.HandleCheck(at(0), at(-120), sr, false)
+		request := answered(rg.syn(), 1, 100)
+		if dc := rg.want(rg.Handle(at(100), request), Forward, Tagged); dc.Check != sr {
+			t.Errorf("check of %+v, want %+v", dc.Check, sr)
+		}
+		rg.HandleCheck(at(200), at(100), sr, answers)
+		if resets := rg.run(at(200), at(300)); len(resets) > 0 == answers {
+			t.Errorf("server answers: %t, resets %v", answers, resets)
+		}
+	}
+}
+
+// Guards against a flow that is reset because its server started again twice before
+// the flow's next packet.
+func TestTwoRestarts(t *testing.T) {
+	rg := newRig(t, desk(1, home))
+	syn, sr := rg.open(at(0))
+	rg.fresh(at(1000))
+	for ms := range 2 {
+		next := desk(1, home)
+		next.Started = at(ms + 1)
+		rg.server(at(100), next)
+	}
+	rg.want(rg.Handle(at(200), answered(syn, sr.Tag, 100)), Forward, Known)
+}
--- a/lab/jpplatform/caller.go
+++ b/lab/jpplatform/caller.go
@@ -108,10 +108,8 @@
 	ack     uint32
 	echo    uint32
 	packets chan arrived
+	sent    int // packets, lost ones included
 
-	// Sent and Lost are the numbers of packets that the caller wrote, and of
-	// those that were lost.
-	Sent, Lost int
 	// Copies is the number of copies of the SYN that were sent.
 	Copies int
 	// Foreign tells whether the flow was reset by somebody other than its
@@ -201,9 +199,8 @@
 func (fl *Flow) send(hd head, data string) {
 	hd.From = netip.AddrPortFrom(fl.host.address, fl.port)
 	hd.To, hd.Echo = fl.route, fl.echo
-	fl.Sent++
-	if fl.host.loses(fl.port, fl.Sent) {
-		fl.Lost++
+	fl.sent++
+	if fl.host.loses(fl.port, fl.sent) {
 		return
 	}
 	to := fl.host.router(hd.From)
