jpsteering: count idle time of UDP flows across the wrap-around

Cause: times of flows are milliseconds in 32 bits, which wrap around 49.7 days after the start. The latest of two times was taken as the larger number, so that a flow with packets on both sides of the wrap-around expired although it was in use; and the time of the wrap-around itself is 0, which stands for 'not set'. Change: idle time is the smaller of the two differences; 0 is never returned. Found by reading.

--- a/core/jpsteering/entry.go
+++ b/core/jpsteering/entry.go
@@ -59,9 +59,16 @@
 // established reports whether the server is known to hold the flow.
 func (en *flowEntry) established() bool { return en.phase == phaseOpen || en.phase == phaseAdopted }
 
-// millis converts a time to milliseconds since the Steerer's epoch.
+// millis converts a time to milliseconds since the Steerer's epoch, which wrap
+// around after 49.7 days. It never returns 0, which stands for a time that is not
+// set.
 func (st *Steerer) millis(at time.Time) uint32 {
-	return uint32(at.Sub(st.epoch) / time.Millisecond)
+	return max(uint32(at.Sub(st.epoch)/time.Millisecond), 1)
+}
+
+// idleMs returns the milliseconds since the flow's last packet in either direction.
+func (en *flowEntry) idleMs(nowMs uint32) uint32 {
+	return min(nowMs-en.callerSeen, nowMs-en.serverSeen)
 }
 
 // isDue reports whether dueAt has been reached.
--- a/core/jpsteering/tick.go
+++ b/core/jpsteering/tick.go
@@ -151,7 +151,7 @@
 		return out, true
 	}
 	if fl.Protocol != protocolTCP {
-		return out, nowMs-max(en.callerSeen, en.serverSeen) < uint32(udpIdleTimeout/time.Millisecond)
+		return out, en.idleMs(nowMs) < uint32(udpIdleTimeout/time.Millisecond)
 	}
 	return st.visitOpen(now, nowMs, fl, en, out)
 }
