jpstore: treat an oversized response as an unknown outcome

Cause: a response above the limit gave a *RefusedError, which says that the call had no effect. A write may have had one. Change: it gives an *UnreachableError, as other unusable responses do. The test failed before with 'refused: response is too large'. Found by reading.

--- a/io/jpstore/client.go
+++ b/io/jpstore/client.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -154,7 +155,7 @@
 		return response{}, newUnreachableError(ca.operation, err)
 	}
 	if len(body) > maxResponseSize {
-		return response{}, newRefusedError(ca.operation, resp.StatusCode, "response is too large")
+		return response{}, newUnreachableError(ca.operation, fmt.Errorf("response exceeds %d bytes", maxResponseSize))
 	}
 	return response{resp.StatusCode, resp.Header, body}, checkStatus(ca.operation, resp.StatusCode, body)
 }
--- a/io/jpstore/client_test.go
+++ b/io/jpstore/client_test.go
@@ -1,6 +1,7 @@
 package jpstore_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net/http"
@@ -190,6 +191,21 @@
 	}
 }
 
+// TestOversizedResponse guards against a write that is reported as without effect
+// because its response is too large: the store may have applied it.
+func TestOversizedResponse(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(bytes.Repeat([]byte(" "), 5<<20))
+	}))
+	defer server.Close()
+	client := jpstore.Open(server.URL)
+	defer client.Close()
+	var unreachable *jpstore.UnreachableError
+	if _, err := client.SwapSettings(context.Background(), 1, record(1, "")); !errors.As(err, &unreachable) {
+		t.Errorf("error %v, want one of an unknown outcome", err)
+	}
+}
+
 // TestListInstances guards against rows that lose their addresses, and against a
 // stand-in whose list ignores the configured lag.
 func TestListInstances(t *testing.T) {
