jpdispatch: count a timed-out check only if a reference answers

Nothing was wrong with the server. Ruled out: a pause of the process (timers fired in time), the server (others reached it). Change: from its second attempt on, a check dials up to two other servers at the same time, the one of its own data centre and the one of another that were last seen alive. If none responds, the result is inconclusive, and the check is repeated after 0.5 s. A refusal still counts at once. Local errors are inconclusive now; they counted as an answer. Logs say the cause and the result of a check.

--- a/core/jpdispatch/check.go
+++ b/core/jpdispatch/check.go
@@ -2,16 +2,96 @@
 
 import "time"
 
-// checkUnanswered returns the server for a check if it has shown no sign of life
+// CheckCause says what led to the check of a server.
+type CheckCause uint8
+
+// Causes of checks.
+const (
+	HandshakeOverdue CheckCause = iota // no packet followed a SYN
+	SYNRepeated                        // a caller repeated its SYN
+	DataRepeated                       // a caller repeated data
+	SilentServerUsed                   // a packet arrived for a silent server
+	SilentCheckDue                     // a silent server may have recovered
+	EntryRemoved                       // the server left the directory and still has flows
+	PeerReport                         // a peer has found it silent
+)
+
+var checkCauseNames = []string{
+	HandshakeOverdue: "handshake_overdue", SYNRepeated: "syn_repeated", DataRepeated: "data_repeated",
+	SilentServerUsed: "silent_server_used", SilentCheckDue: "silent_check_due", EntryRemoved: "entry_removed",
+	PeerReport: "peer_report",
+}
+
+// String returns the name of the cause in logs, in snake case.
+func (cc CheckCause) String() string { return checkCauseNames[cc] }
+
+// Check asks for a connection attempt to a server. If the attempt times out, it
+// counts only if a reference answers in the same time: otherwise this instance's
+// own link may have failed or be congested.
+type Check struct {
+	Server     Endpoint
+	Cause      CheckCause
+	References []Endpoint // other servers; none if this instance knows no other
+}
+
+// CheckResult is the result of a check.
+type CheckResult uint8
+
+// Results of checks.
+const (
+	CheckInconclusive CheckResult = iota // neither the server nor a reference answered in time
+	CheckAnswered                        // the server's host accepts connections
+	CheckFailed                          // the host refused the connection, or only the references answered
+)
+
+var checkResultNames = []string{
+	CheckInconclusive: "inconclusive", CheckAnswered: "answered", CheckFailed: "failed",
+}
+
+// String returns the name of the result in logs, in snake case.
+func (cr CheckResult) String() string { return checkResultNames[cr] }
+
+// beginCheck returns a check of a server and records that it is running.
+func (ds *Dispatcher) beginCheck(sr *server, cause CheckCause) Check {
+	sr.checking = true
+	return Check{Server: sr.endpoint(), Cause: cause, References: ds.references(sr)}
+}
+
+// references returns the servers that show whether this instance's link works:
+// the one in its data centre and the one in another data centre that were last
+// seen alive.
+func (ds *Dispatcher) references(suspect *server) []Endpoint {
+	var local, remote *server
+	for _, sr := range ds.servers {
+		if sr == suspect || sr.silent || !sr.present || sr.cfg.Address == suspect.cfg.Address {
+			continue
+		}
+		best := &remote
+		if sr.cfg.DataCentre == ds.dataCentre {
+			best = &local
+		}
+		if *best == nil || sr.aliveAt.After((*best).aliveAt) {
+			*best = sr
+		}
+	}
+	var list []Endpoint
+	for _, sr := range []*server{local, remote} {
+		if sr != nil {
+			list = append(list, sr.endpoint())
+		}
+	}
+	return list
+}
+
+// checkUnanswered returns a check of the server if it has shown no sign of life
 // since sentAt and no check is running or was done lately. A retransmission alone
 // doesn't prove a failure: a caller also repeats a request that is queued at a
 // busy server.
-func (ds *Dispatcher) checkUnanswered(now time.Time, sr *server, sentAt time.Time) Endpoint {
+func (ds *Dispatcher) checkUnanswered(now time.Time, sr *server, sentAt time.Time, cause CheckCause) Check {
 	if sr.aliveAt.After(sentAt) || sr.checking || now.Before(sr.nextCheckAt) {
-		return Endpoint{}
+		return Check{}
 	}
-	sr.checking = true
-	return sr.endpoint()
+	return ds.beginCheck(sr, cause)
 }
 
 // noteSYN records that a SYN was sent to the server.
@@ -29,21 +109,20 @@
 	return !sr.synAt.IsZero() && now.Sub(sr.synAt) >= handshakeTimeout
 }
 
-// HandleCheckResult handles the result of a check: whether the server's host
-// accepts connections. A failure is ignored if this instance was paused during
-// the check.
-func (ds *Dispatcher) HandleCheckResult(now, began time.Time, server Endpoint, answered bool) {
+// HandleCheckResult handles the result of a check that began at a time. A failure
+// is inconclusive if this instance was paused during the check.
+func (ds *Dispatcher) HandleCheckResult(now, began time.Time, server Endpoint, result CheckResult) {
 	sr := ds.serversByTag[server.Tag]
 	if sr == nil || sr.cfg.ID != server.ID || sr.cfg.Address != server.Address {
 		return
 	}
 	sr.checking = false
 	switch {
-	case answered:
+	case result == CheckAnswered:
 		sr.noteAlive(now)
 		sr.nextCheckAt = now.Add(checkInterval)
-	case !began.After(ds.evidenceSince):
-		sr.nextCheckAt = now
+	case result == CheckInconclusive || !began.After(ds.evidenceSince):
+		sr.nextCheckAt = now.Add(inconclusiveCheckDelay)
 		sr.synAt = time.Time{}
 	default:
 		sr.silent, sr.checkFailedAt = true, now
@@ -59,16 +138,19 @@
 //     are reset if the check fails and go on if it succeeds;
 //   - servers that didn't answer a SYN;
 //   - silent servers, which may have recovered.
-func (ds *Dispatcher) DueChecks(now time.Time) []Endpoint {
-	var list []Endpoint
+func (ds *Dispatcher) DueChecks(now time.Time) []Check {
+	var list []Check
 	for _, sr := range ds.servers {
 		if sr.checking || now.Before(sr.nextCheckAt) {
 			continue
 		}
-		gone := !sr.present && !sr.replaced && sr.trackedFlows > 0
-		if gone || sr.present && (sr.silent || sr.handshakeOverdue(now)) {
-			sr.checking = true
-			list = append(list, sr.endpoint())
+		switch {
+		case !sr.present && !sr.replaced && sr.trackedFlows > 0:
+			list = append(list, ds.beginCheck(sr, EntryRemoved))
+		case sr.present && sr.silent:
+			list = append(list, ds.beginCheck(sr, SilentCheckDue))
+		case sr.present && sr.handshakeOverdue(now):
+			list = append(list, ds.beginCheck(sr, HandshakeOverdue))
 		}
 	}
 	return list
@@ -89,15 +171,14 @@
 // ReportedChecks returns those of the servers that a peer reported as silent
 // which this instance has to check itself: the peer's path to a server may be
 // broken while the path from here is not.
-func (ds *Dispatcher) ReportedChecks(ids []string) []Endpoint {
-	var list []Endpoint
+func (ds *Dispatcher) ReportedChecks(ids []string) []Check {
+	var list []Check
 	for _, id := range ids {
 		sr := ds.servers[id]
 		if sr == nil || sr.silent || sr.checking || !sr.present || ds.lastTick.Before(sr.nextCheckAt) {
 			continue
 		}
-		sr.checking = true
-		list = append(list, sr.endpoint())
+		list = append(list, ds.beginCheck(sr, PeerReport))
 	}
 	return list
 }
--- a/core/jpdispatch/check_test.go
+++ b/core/jpdispatch/check_test.go
@@ -29,7 +29,7 @@
 		t.Errorf("%d of 100 new flows went to the crashed server", reached)
 	}
 	checks := hn.DueChecks(at(1000))
-	if len(checks) != 1 || checks[0].ID != first {
+	if len(checks) != 1 || checks[0].Server.ID != first {
 		t.Errorf("servers to check %v, want %s", checks, first)
 	}
 }
@@ -49,15 +49,18 @@
 			}
 		}, false},
 		{"check failed", func(hn *harness, _ Packet, sr Endpoint) {
-			hn.HandleCheckResult(at(100), at(50), sr, false)
+			hn.HandleCheckResult(at(100), at(50), sr, CheckFailed)
 		}, true},
 		{"check failed during a pause", func(hn *harness, _ Packet, sr Endpoint) {
 			hn.NotePause(at(80))
-			hn.HandleCheckResult(at(100), at(50), sr, false)
+			hn.HandleCheckResult(at(100), at(50), sr, CheckFailed)
+		}, false},
+		{"check inconclusive", func(hn *harness, _ Packet, sr Endpoint) {
+			hn.HandleCheckResult(at(100), at(50), sr, CheckInconclusive)
 		}, false},
 		{"check failed, then answered", func(hn *harness, _ Packet, sr Endpoint) {
-			hn.HandleCheckResult(at(100), at(50), sr, false)
-			hn.HandleCheckResult(at(110), at(105), sr, true)
+			hn.HandleCheckResult(at(100), at(50), sr, CheckFailed)
+			hn.HandleCheckResult(at(110), at(105), sr, CheckAnswered)
 		}, false},
 		{"entry expired 3 s ago", func(hn *harness, _ Packet, sr Endpoint) {
 			hn.remove(at(-1000), sr.ID)
@@ -119,7 +122,7 @@
 		t.Errorf("checks of a server without flows: %v", checks)
 	}
 	hn.remove(at(30), sr.ID)
-	if checks := hn.DueChecks(at(40)); len(checks) != 1 || checks[0] != sr {
+	if checks := hn.DueChecks(at(40)); len(checks) != 1 || checks[0].Server != sr {
 		t.Errorf("checks %v, want %v", checks, sr)
 	}
 	rows := []struct {
@@ -129,12 +132,12 @@
 	for _, row := range rows {
 		hn := newHarness(t, row.server)
 		silent := hn.servers["i-1"].endpoint()
-		hn.HandleCheckResult(at(10), at(5), silent, false)
+		hn.HandleCheckResult(at(10), at(5), silent, CheckFailed)
 		count := 0
 		for ms := 100; ms <= 10_000; ms += 100 {
 			for _, check := range hn.DueChecks(at(ms)) {
 				count++
-				hn.HandleCheckResult(at(ms), at(ms), check, false)
+				hn.HandleCheckResult(at(ms), at(ms), check.Server, CheckFailed)
 			}
 		}
 		if count == 0 || count > row.most {
@@ -166,17 +169,17 @@
 // Guards against a flow that is reset because a check of its server failed before
 // the flow's first packet at this instance: the server may have restarted since.
 func TestSilentBeforeFlow(t *testing.T) {
-	for _, answers := range []bool{false, true} {
+	for _, result := range []CheckResult{CheckFailed, CheckAnswered} {
 		hn := newHarness(t, deskServer(1, localDC))
 		sr := hn.servers["i-1"].endpoint()
-		hn.HandleCheckResult(at(0), at(-120), sr, false)
+		hn.HandleCheckResult(at(0), at(-120), sr, CheckFailed)
 		request := nextPacket(hn.newSYN(), 1, 100)
-		if dc := hn.wantDecision(hn.Handle(at(100), request), Forward, Tagged); dc.Check != sr {
+		if dc := hn.wantDecision(hn.Handle(at(100), request), Forward, Tagged); dc.Check.Server != sr {
 			t.Errorf("check of %+v, want %+v", dc.Check, sr)
 		}
-		hn.HandleCheckResult(at(200), at(100), sr, answers)
-		if resets := hn.runTicks(at(200), at(300)); len(resets) > 0 == answers {
-			t.Errorf("server answers: %t, resets %v", answers, resets)
+		hn.HandleCheckResult(at(200), at(100), sr, result)
+		if resets := hn.runTicks(at(200), at(300)); len(resets) > 0 != (result == CheckFailed) {
+			t.Errorf("check %v, resets %v", result, resets)
 		}
 	}
 }
--- a/core/jpdispatch/dispatcher_test.go
+++ b/core/jpdispatch/dispatcher_test.go
@@ -20,7 +20,7 @@
 		syn := hn.newSYN()
 		first := hn.wantDecision(hn.Handle(at(0), syn), Forward, Placed)
 		if row.checked {
-			hn.HandleCheckResult(at(50), at(40), first.Server, false)
+			hn.HandleCheckResult(at(50), at(40), first.Server, CheckFailed)
 		}
 		if row.paused {
 			hn.NotePause(at(51))
@@ -138,7 +138,7 @@
 			if dc.Server.ID != "i-2" {
 				t.Fatalf("%s: a new flow was sent to %s", row.name, dc.Server.ID)
 			}
-			hn.HandleCheckResult(at(10), at(9), dc.Server, true)
+			hn.HandleCheckResult(at(10), at(9), dc.Server, CheckAnswered)
 		}
 	}
 }
@@ -171,7 +171,7 @@
 				if dc.Outcome != Forward {
 					continue
 				}
-				hn.HandleCheckResult(at(ms), at(ms), dc.Server, true)
+				hn.HandleCheckResult(at(ms), at(ms), dc.Server, CheckAnswered)
 				recent = append(recent, at(ms))
 			}
 			for len(recent) > 0 && at(ms).Sub(recent[0]) >= time.Second {
--- a/core/jpdispatch/handle.go
+++ b/core/jpdispatch/handle.go
@@ -151,8 +151,7 @@
 	if sr.silent && !sr.checking {
 		// The latest failed check is older than the flow at this instance, or out
 		// of date, so the server has to be checked again.
-		sr.checking = true
-		check = sr.endpoint()
+		check = ds.beginCheck(sr, SilentServerUsed)
 	}
 	fl.lastSeenAt = now
 	if pk.Flags&FIN != 0 && fl.state != closing {
@@ -208,8 +207,8 @@
 
 // observe updates the state of the server from a packet of the caller: an
 // acknowledgement that advances shows that the server is alive. It returns the
-// server if a retransmission requires a check.
-func (ds *Dispatcher) observe(now time.Time, fl *flow, pk Packet) Endpoint {
+// check that a retransmission requires.
+func (ds *Dispatcher) observe(now time.Time, fl *flow, pk Packet) Check {
 	sr := fl.server
 	if pk.Flags&ACK != 0 && (fl.lastAck == 0 || int32(pk.Ack-fl.lastAck) > 0) {
 		if fl.lastAck != 0 {
@@ -219,7 +218,7 @@
 		fl.clearWaiting()
 	}
 	if pk.Length == 0 {
-		return Endpoint{}
+		return Check{}
 	}
 	end := pk.Sequence + uint32(pk.Length)
 	switch {
@@ -228,9 +227,9 @@
 	case int32(end-fl.pendingEnd) > 0:
 		fl.pendingEnd = end
 	case ds.answerDue(now, fl.sentAt):
-		return ds.checkUnanswered(now, sr, fl.sentAt)
+		return ds.checkUnanswered(now, sr, fl.sentAt, DataRepeated)
 	}
-	return Endpoint{}
+	return Check{}
 }
 
 // answerDue reports whether a packet sent at sentAt should have been answered by
--- a/core/jpdispatch/packet.go
+++ b/core/jpdispatch/packet.go
@@ -86,9 +86,9 @@
 	Reason  Reason
 	Server  Endpoint // destination, of Forward
 	Reset   ResetPacket
-	Check   Endpoint // server to check, none if its ID is empty
-	Load    int      // load of the server in flows, of Placed and Moved
-	Choices int      // number of candidate servers, of Placed and Moved
+	Check   Check // of a server that may be lost, none if its Server.ID is empty
+	Load    int   // load of the server in flows, of Placed and Moved
+	Choices int   // number of candidate servers, of Placed and Moved
 }
 
 // Endpoint holds the identity and address of a server that packets carry.
--- a/core/jpdispatch/place.go
+++ b/core/jpdispatch/place.go
@@ -33,11 +33,11 @@
 		return Decision{Outcome: Forward, Reason: Known, Server: fl.server.endpoint()}
 	}
 	reason := Placed
-	var check Endpoint
+	var check Check
 	if fl != nil {
 		reason = Moved
 		fl.server.avoidUntil = now.Add(avoidDuration)
-		check = ds.checkUnanswered(now, fl.server, fl.sentAt)
+		check = ds.checkUnanswered(now, fl.server, fl.sentAt, SYNRepeated)
 	}
 	sr, choices := ds.chooseServer(now, rt, pk, fl)
 	if sr == nil {
@@ -73,7 +73,7 @@
 // noServer refuses a flow that no server can take. If an earlier SYN of the flow
 // was sent to a server, the retransmission goes to the same one, because the flow
 // may still open there.
-func (ds *Dispatcher) noServer(fl *flow, pk Packet, check Endpoint) Decision {
+func (ds *Dispatcher) noServer(fl *flow, pk Packet, check Check) Decision {
 	if fl != nil {
 		return Decision{Outcome: Forward, Reason: Known, Server: fl.server.endpoint(), Check: check}
 	}
--- a/core/jpdispatch/server.go
+++ b/core/jpdispatch/server.go
@@ -37,6 +37,11 @@
 	silentCheckInterval       = 1500 * time.Millisecond
 	remoteSilentCheckInterval = 4 * silentCheckInterval
 
+	// inconclusiveCheckDelay is the time between an inconclusive check and the
+	// next one. It is longer than a congested link takes to recover from an update
+	// of the directory.
+	inconclusiveCheckDelay = 500 * time.Millisecond
+
 	// overdueCheckDelay is how late the check of a silent server may be before
 	// this instance must have been paused: two ticks.
 	overdueCheckDelay = 200 * time.Millisecond
--- a/core/jpdispatch/sim_test.go
+++ b/core/jpdispatch/sim_test.go
@@ -298,17 +298,22 @@
 	return nil
 }
 
-func (sm *simulation) checkServer(in *simInstance, server Endpoint) {
+func (sm *simulation) checkServer(in *simInstance, check Check) {
+	server := check.Server
 	if server.ID == "" {
 		return
 	}
 	sr := sm.serverAt(server.Address)
 	answered := sr != nil && sm.reaches(in, sr.cfg.DataCentre)
+	result := CheckFailed
+	if answered {
+		result = CheckAnswered
+	}
 	began := sm.now
 	if !answered {
 		began = began.Add(-simCheckTimeout)
 	}
-	in.HandleCheckResult(sm.now, began, server, answered)
+	in.HandleCheckResult(sm.now, began, server, result)
 }
 
 // tickInstance does the periodic work of an instance.
@@ -322,8 +327,8 @@
 			}
 		}
 	}
-	for _, server := range in.DueChecks(sm.now) {
-		sm.checkServer(in, server)
+	for _, check := range in.DueChecks(sm.now) {
+		sm.checkServer(in, check)
 	}
 	in.FailingChanges(sm.now)
 	if sm.now.Sub(in.lastSync) >= time.Duration(300+sm.rng.IntN(700))*time.Millisecond {
--- a/io/jpentry/check.go
+++ b/io/jpentry/check.go
@@ -30,15 +30,16 @@
 
 // checkServer checks in the background whether a server's host still accepts
 // connections. It sends no request, which would occupy a slot of the server.
-func (en *Entry) checkServer(server jpdispatch.Endpoint) {
+func (en *Entry) checkServer(check jpdispatch.Check) {
 	go func() {
+		server := check.Server
 		began := time.Now()
-		answered, err := probe(server.Address)
+		result, err := probe(dial, server.Address, check.References)
 		now := time.Now()
 		en.metrics.checks.Add(1)
 		en.mu.Lock()
 		silentBefore := en.dispatcher.Stats().Silent
-		en.dispatcher.HandleCheckResult(now, began, server, answered)
+		en.dispatcher.HandleCheckResult(now, began, server, result)
 		silent := en.dispatcher.Stats().Silent
 		if silent > silentBefore {
 			en.nextStatus = now
@@ -50,34 +51,76 @@
 		case silent < silentBefore:
 			en.timeline.Add("check", "server_back", server.ID, "")
 		}
-		klog.InfoS("check: done", "server", server.ID, "address", server.Address, "answered", answered, "err", err,
-			"took_ms", now.Sub(began).Milliseconds(), "silent_servers", silent)
+		klog.InfoS("check: done", "server", server.ID, "address", server.Address, "cause", check.Cause,
+			"result", result, "err", err, "took_ms", now.Sub(began).Milliseconds(), "silent_servers", silent)
 	}()
 }
 
-// probe opens a connection to an address and closes it. It reports false only on
-// conclusive evidence: the host refused the connection, or failureThreshold
-// attempts timed out while this process was scheduled.
-func probe(address netip.AddrPort) (answered bool, err error) {
+// probe opens a connection to an address and closes it. The result is CheckFailed
+// if the host refused the connection, or if failureThreshold attempts timed out
+// while this process was scheduled and, from the second one on, a reference
+// answered in the same time.
+func probe(dial dialFunc, address netip.AddrPort, references []jpdispatch.Endpoint) (result jpdispatch.CheckResult, err error) {
 	failed := 0
-	for range maxAttempts {
+	for attempt := range maxAttempts {
+		var answers <-chan bool
+		if attempt > 0 {
+			answers = dialReferences(dial, references)
+		}
 		began := time.Now()
-		var conn net.Conn
-		if conn, err = net.DialTimeout("tcp", address.String(), checkTimeout); err == nil {
-			_ = conn.Close() // nothing was sent
-			return true, nil
+		if err = dial(address); err == nil {
+			return jpdispatch.CheckAnswered, nil
 		}
 		if errors.Is(err, syscall.ECONNREFUSED) {
-			return false, err
+			return jpdispatch.CheckFailed, err
 		}
 		// Errors other than timeouts are local to this machine.
 		var ne net.Error
-		if errors.As(err, &ne) && ne.Timeout() && time.Since(began) <= checkTimeout+checkTimerTolerance {
+		timedOut := errors.As(err, &ne) && ne.Timeout() && time.Since(began) <= checkTimeout+checkTimerTolerance
+		if timedOut && (answers == nil || <-answers) {
 			failed++
 		}
 		if failed == failureThreshold {
-			return false, err
+			return jpdispatch.CheckFailed, err
 		}
 	}
-	return true, err
+	return jpdispatch.CheckInconclusive, err
+}
+
+// dialFunc opens a connection to an address and closes it.
+type dialFunc func(netip.AddrPort) error
+
+// dial opens a connection to an address and closes it without sending anything.
+func dial(address netip.AddrPort) error {
+	conn, err := net.DialTimeout("tcp", address.String(), checkTimeout)
+	if err != nil {
+		return err
+	}
+	_ = conn.Close() // nothing was sent
+	return nil
+}
+
+// dialReferences dials all references at the same time and then sends whether the
+// host of one of them has responded within checkTimeout. It returns nil if there
+// are none.
+func dialReferences(dial dialFunc, references []jpdispatch.Endpoint) <-chan bool {
+	if len(references) == 0 {
+		return nil
+	}
+	responses := make(chan bool, len(references))
+	for _, rf := range references {
+		go func() {
+			err := dial(rf.Address)
+			responses <- err == nil || errors.Is(err, syscall.ECONNREFUSED)
+		}()
+	}
+	answered := make(chan bool, 1)
+	go func() {
+		any := false
+		for range references {
+			any = <-responses || any
+		}
+		answered <- any
+	}()
+	return answered
 }
--- a/io/jpentry/control.go
+++ b/io/jpentry/control.go
@@ -63,8 +63,8 @@
 	for _, fc := range changes {
 		klog.InfoS("dispatch: server", "server", fc.Server, "failing", fc.Failing, "stuck", fc.Stuck, "given_up", fc.GivenUp)
 	}
-	for _, server := range checks {
-		en.checkServer(server)
+	for _, check := range checks {
+		en.checkServer(check)
 	}
 	if changed {
 		en.connectPeers(neighbours)
@@ -250,8 +250,8 @@
 	revision := en.directory.Revision()
 	requestDue := en.requestLimiter.Allow(now, revision, ds.Revision)
 	en.mu.Unlock()
-	for _, server := range checks {
-		en.checkServer(server)
+	for _, check := range checks {
+		en.checkServer(check)
 	}
 	if requestDue {
 		en.sendToPeer(from, jppeer.DirectoryRequest{Revision: revision})
--- a/io/jpentry/packets.go
+++ b/io/jpentry/packets.go
@@ -62,7 +62,7 @@
 	case jpdispatch.Refuse, jpdispatch.Reset:
 		en.sendReset(dc.Reset)
 	}
-	if dc.Check.ID != "" {
+	if dc.Check.Server.ID != "" {
 		en.checkServer(dc.Check)
 	}
 	if dc.Reason == jpdispatch.UnknownTag {
