jpdispatch: don't send a SYN on after its flow was reset, nor to several servers

Causes, found by reading: a late copy of a SYN whose flow was reset went to the lost server; and with a full flow table each copy of a SYN was placed anew, by loads that had changed since, so that several servers opened the flow. Change: the late copy is dropped; without room in the table a flow is placed by a hash of its SYN.

--- a/core/jpdispatch/dispatcher_test.go
+++ b/core/jpdispatch/dispatcher_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"jacinthpass/core/jpdirectory"
+	"jacinthpass/core/jpflow"
 )
 
 // Guards against retransmissions of a SYN that go to a server that has not
@@ -310,3 +311,32 @@
 		}
 	})
 }
+
+// Guards against a late copy of a SYN that reaches a lost server after its flow was
+// reset.
+func TestSYNAfterReset(t *testing.T) {
+	hn := newHarness(t, deskServer(1, localDC), deskServer(2, localDC))
+	syn, sr := hn.open(at(0))
+	hn.HandleCheckResult(at(100), at(50), sr, CheckFailed)
+	if resets := hn.runTicks(at(100), at(300)); len(resets) != 1 {
+		t.Fatalf("resets %v, want one", resets)
+	}
+	hn.wantDecision(hn.Handle(at(310), syn), Drop, Late)
+}
+
+// Guards against copies of a SYN that open a flow at several servers because the
+// flow table is full and the first copy is not remembered.
+func TestSYNCopiesWithFullTable(t *testing.T) {
+	hn := newHarness(t, deskServer(1, localDC), deskServer(2, localDC), deskServer(3, localDC))
+	hn.flows = jpflow.New[FlowKey, flow](1)
+	hn.open(at(0))
+	for range 20 {
+		syn := hn.newSYN()
+		first := hn.wantDecision(hn.Handle(at(10), syn), Forward, Placed)
+		// Loads change between the copies.
+		hn.HandleLoads(at(100), "10.0.0.9", []Load{{Tag: first.Server.Tag, Flows: 3}})
+		if second := hn.Handle(at(210), syn); second.Server != first.Server {
+			t.Errorf("copies of a SYN went to %s and %s", first.Server.ID, second.Server.ID)
+		}
+	}
+}
--- a/core/jpdispatch/place.go
+++ b/core/jpdispatch/place.go
@@ -26,6 +26,9 @@
 		ds.removeFlow(key, fl) // the caller has reused the port
 		fl = nil
 	}
+	if fl != nil && fl.state == resetSent {
+		return Decision{Reason: Late}
+	}
 	if fl != nil && fl.state != opening {
 		return Decision{Outcome: Forward, Reason: Known, Server: fl.server.endpoint()}
 	}
@@ -46,7 +49,7 @@
 	if fl == nil {
 		added, err := ds.flows.Add(key)
 		if err != nil {
-			return Decision{Outcome: Forward, Reason: reason, Server: sr.endpoint(), Choices: choices}
+			return ds.placeUntracked(now, rt, pk)
 		}
 		fl = added
 		fl.firstSeenAt = now
@@ -97,6 +100,29 @@
 	return nil, 0
 }
 
+// placeUntracked places a flow for which the flow table has no room. It selects
+// the server by a hash of the flow, so that copies of the SYN reach the same one.
+func (ds *Dispatcher) placeUntracked(now time.Time, rt *jpdirectory.Route, pk Packet) Decision {
+	sc := ds.services[pickService(rt, pk)]
+	var chosen *server
+	choices := 0
+	for _, accepts := range []func(time.Time, *service, *server) bool{ds.available, ds.warm} {
+		for _, sr := range sc.servers {
+			if !ds.eligible(sc, sr) || !accepts(now, sc, sr) {
+				continue
+			}
+			choices++
+			if chosen == nil || tieBreak(pk, sr) > tieBreak(pk, chosen) {
+				chosen = sr
+			}
+		}
+		if chosen != nil {
+			return Decision{Outcome: Forward, Reason: Placed, Server: chosen.endpoint(), Choices: choices}
+		}
+	}
+	return Decision{Outcome: Refuse, Reason: NoServer, Reset: resetOf(pk, NoServer)}
+}
+
 func (ds *Dispatcher) leastLoaded(now time.Time, sc *service, pk Packet, fl *flow, accepts func(time.Time, *service, *server) bool) (*server, int) {
 	var best *server
 	lowest, choices := math.Inf(1), 0
