jpentry: mend the store counter, registrations and statuses of peers

Causes, found by reading: store_calls_total fell when the store moved, because its client was replaced, and the metrics library answers a counter that decreases with a panic; a failed registration left its lease behind and granted another one; an expired lease was replaced without a pause; statuses of peers that left were kept and went on being selected for requests; a planned stop read the stop timeout without the lock. Change: a store handle adds the calls of its predecessors; a registration keeps its lease until the entry is written, and pauses after each failure; statuses are removed when they are too old to be used; the deadline is computed under the lock (no test: only the race detector would see it). Without the changes TestStoreCallsAfterMove counted 2 instead of 12, and TestStatusesExpire kept both statuses. TestRegistrationFailures tests the decision that was split off for it.

--- a/io/jpentry/control.go
+++ b/io/jpentry/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -85,7 +86,7 @@
 			}
 		}
 	}
-	en.metrics.updateGauges(stats, revision, en.store.Load().CallCount())
+	en.metrics.updateGauges(stats, revision, en.store.Load().totalCalls())
 }
 
 func (en *Entry) sendToPeer(id string, msg any) {
@@ -209,9 +210,10 @@
 	return earliest
 }
 
-// updateFreshness passes the age of the directory and the store's availability to
+// updateFreshness removes expired statuses of peers and passes the age of the directory and the store's availability to
 // the dispatcher. The caller holds mu.
 func (en *Entry) updateFreshness(now time.Time) {
+	maps.DeleteFunc(en.statuses, func(_ string, ps peerStatus) bool { return now.Sub(ps.receivedAt) >= statusMaxAge })
 	en.dispatcher.SetFreshness(en.directory.CurrentAt(), en.storeUpSince(now))
 }
 
--- a/io/jpentry/entry.go
+++ b/io/jpentry/entry.go
@@ -70,9 +70,13 @@
 // storeHandle is a client of the store with the address it was opened for.
 type storeHandle struct {
 	Store
-	address netip.AddrPort
+	address      netip.AddrPort
+	earlierCalls uint64 // calls of the clients before it
 }
 
+// totalCalls returns the number of calls made since the start of the instance.
+func (sh *storeHandle) totalCalls() uint64 { return sh.earlierCalls + sh.CallCount() }
+
 // storeHealth is the state of the store as this instance observes it.
 type storeHealth struct {
 	upSince      time.Time // since when it has answered without interruption; zero while it does not answer
@@ -127,7 +131,7 @@
 		statuses:       map[string]peerStatus{},
 		manifestKnown:  make(chan struct{}),
 	}
-	en.store.Store(&storeHandle{pf.OpenStore(settings.Store), settings.Store})
+	en.store.Store(&storeHandle{Store: pf.OpenStore(settings.Store), address: settings.Store})
 	self := jpmember.Member{
 		ID: settings.ID, DataCentre: settings.DataCentre,
 		Addresses:   jpmember.Addresses{Traffic: settings.Traffic, Peer: settings.Peer},
--- /dev/null
+++ b/io/jpentry/entry_test.go
@@ -0,0 +1,132 @@
+package jpentry
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"jacinthpass/core/jpdirectory"
+)
+
+// registryStore records the calls for registrations. Each call fails with the
+// next of the errors.
+type registryStore struct {
+	Store
+	errs  []error
+	calls []string
+}
+
+func (rs *registryStore) next(call string) error {
+	rs.calls = append(rs.calls, call)
+	if len(rs.errs) == 0 {
+		return nil
+	}
+	err := rs.errs[0]
+	rs.errs = rs.errs[1:]
+	return err
+}
+
+func (rs *registryStore) GrantLease(context.Context, time.Duration) (uint64, error) {
+	return uint64(len(rs.calls) + 1), rs.next("grant")
+}
+
+func (rs *registryStore) RenewLease(context.Context, uint64) error { return rs.next("renew") }
+
+func (rs *registryStore) Register(context.Context, jpdirectory.Instance, uint64) error {
+	return rs.next("register")
+}
+
+func (rs *registryStore) CallCount() uint64 { return uint64(len(rs.calls)) }
+
+func (rs *registryStore) Close() {}
+
+// newTestEntry returns an instance on the loopback interface whose store is st.
+func newTestEntry(t *testing.T, st Store) *Entry {
+	t.Helper()
+	loopback := netip.MustParseAddrPort("127.0.0.1:0")
+	settings := Settings{ID: "127.0.0.1", DataCentre: "hobart", Traffic: loopback, Peer: loopback, Store: loopback}
+	pf := Platform{
+		LoadSettings: func() (Settings, error) { return settings, nil },
+		OpenStore:    func(netip.AddrPort) Store { return st },
+	}
+	en, err := newEntry(pf, settings, Options{}, time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = en.conn.Close() })
+	return en
+}
+
+// Guards against a second lease for an instance whose first registration failed,
+// and against calls without a pause while leases end at once.
+func TestRegistrationFailures(t *testing.T) {
+	rows := []struct {
+		name string
+		errs []error
+		want []string // calls in the first 5 s
+	}{
+		{"no failure", nil, []string{"grant", "register"}},
+		{"no lease", []error{errBusy}, []string{"grant", "grant", "register"}},
+		{"entry not written", []error{nil, errBusy}, []string{"grant", "register", "register"}},
+		{"lease ended before the entry was written", []error{nil, ErrLeaseExpired}, []string{"grant", "register", "grant", "register"}},
+		{"lease ended twice", []error{nil, ErrLeaseExpired, nil, ErrLeaseExpired},
+			[]string{"grant", "register", "grant", "register", "grant", "register"}},
+	}
+	for _, row := range rows {
+		synctest.Test(t, func(t *testing.T) {
+			rs := &registryStore{errs: row.errs}
+			rg := registration{id: "127.0.0.1", dataCentre: "hobart"}
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			for ctx.Err() == nil {
+				wait := rg.maintain(ctx, rs)
+				if wait < minRetryDelay {
+					t.Errorf("%s: pause of %v after the calls %q", row.name, wait, rs.calls)
+				}
+				sleep(ctx, wait)
+			}
+			if !slices.Equal(rs.calls, row.want) {
+				t.Errorf("%s: calls %q, want %q", row.name, rs.calls, row.want)
+			}
+		})
+	}
+}
+
+// Guards against a counter that decreases, which the metrics library answers with a
+// panic, when the store has moved and its new client has made fewer calls.
+func TestStoreCallsAfterMove(t *testing.T) {
+	first := &registryStore{calls: make([]string, 10)}
+	en := newTestEntry(t, first)
+	en.platform.OpenStore = func(netip.AddrPort) Store { return &registryStore{calls: make([]string, 2)} }
+	moved := en.settings
+	moved.Store = netip.MustParseAddrPort("127.0.0.1:9")
+	en.platform.LoadSettings = func() (Settings, error) { return moved, nil }
+	scope := tally.NewTestScope("", nil)
+	reported := map[string]uint64{}
+	for _, want := range []int64{10, 12} {
+		en.tick(time.Now())
+		en.metrics.flush(scope, droppedLines{}, reported)
+		if calls := scope.Snapshot().Counters()["store_calls_total+"].Value(); calls != want {
+			t.Errorf("store_calls_total is %d, want %d", calls, want)
+		}
+		en.reloadSettings(true)
+	}
+}
+
+// Guards against the status of a peer that has left and is kept for ever: its
+// revision would go on selecting it for requests.
+func TestStatusesExpire(t *testing.T) {
+	en := newTestEntry(t, &registryStore{})
+	now := time.Now()
+	en.statuses["10.0.0.1"] = peerStatus{revision: 7, receivedAt: now.Add(-statusMaxAge)}
+	en.statuses["10.0.0.2"] = peerStatus{revision: 7, receivedAt: now}
+	en.tick(now)
+	if _, kept := en.statuses["10.0.0.1"]; kept || len(en.statuses) != 1 {
+		t.Errorf("statuses %v, want only that of 10.0.0.2", en.statuses)
+	}
+}
--- a/io/jpentry/stop.go
+++ b/io/jpentry/stop.go
@@ -34,8 +34,8 @@
 	en.mu.Lock()
 	en.timeline.Add("entry", "instance_leaving", en.settings.ID, "")
 	en.group.Leave(began)
-	en.mu.Unlock()
 	deadline := began.Add(max(en.settings.StopTimeout-exitReserve, minStopTime))
+	en.mu.Unlock()
 	for ctx.Err() == nil {
 		now := time.Now()
 		lastPacket := time.Unix(0, en.lastPacket.Load())
@@ -76,7 +76,9 @@
 	defer en.mu.Unlock()
 	if old := en.store.Load(); old.address != settings.Store {
 		klog.InfoS("entry: store moved", "from", old.address, "to", settings.Store)
-		en.store.Store(&storeHandle{en.platform.OpenStore(settings.Store), settings.Store})
+		en.store.Store(&storeHandle{
+			Store: en.platform.OpenStore(settings.Store), address: settings.Store, earlierCalls: old.totalCalls(),
+		})
 		old.Close()
 	}
 	if requested {
--- a/io/jpentry/sync.go
+++ b/io/jpentry/sync.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -204,6 +205,17 @@
 	leaseRenewInterval = 10 * time.Second
 )
 
+// registration is the entry of an instance in the store and the lease that it is
+// bound to.
+type registration struct {
+	id         string // of the instance
+	dataCentre string
+	peer       netip.AddrPort
+	leaseTTL   time.Duration
+	lease      uint64 // 0 if there is none
+	written    bool   // the store has the entry, bound to the lease
+}
+
 // maintainRegistration keeps this instance's entry in the store until ctx ends.
 // Each call to the store incurs a cost, so it reuses the entry and lease of an
 // earlier process, and a planned stop leaves the entry for the next process.
@@ -213,20 +225,54 @@
 		return
 	case <-en.manifestKnown:
 	}
-	lease := en.previousLease()
+	en.mu.Lock()
+	rg := registration{
+		id: en.settings.ID, dataCentre: en.settings.DataCentre, peer: en.settings.Peer,
+		leaseTTL: max(leaseTTL, en.settings.MinLeaseTTL),
+	}
+	en.mu.Unlock()
+	rg.lease = en.previousLease()
+	rg.written = rg.lease != 0
 	for ctx.Err() == nil {
-		err := en.registerOrRenew(ctx, &lease)
-		switch {
-		case errors.Is(err, ErrLeaseExpired):
-			klog.InfoS("store: registration has ended, registering again")
-			lease = 0
-		case err != nil:
-			klog.V(1).InfoS("store: registration failed", "err", err)
-			sleep(ctx, maxRetryDelay/2+rand.N(maxRetryDelay))
-		default:
-			sleep(ctx, leaseRenewInterval)
+		sleep(ctx, rg.maintain(ctx, en.store.Load()))
+	}
+}
+
+// maintain renews the lease or, if there is none, writes the entry under a new one.
+// It returns the time until the next call.
+func (rg *registration) maintain(ctx context.Context, store Store) time.Duration {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := rg.renewOrWrite(ctx, store)
+	switch {
+	case err == nil:
+		return leaseRenewInterval
+	case errors.Is(err, ErrLeaseExpired):
+		klog.InfoS("store: registration has ended, registering again", "lease", rg.lease)
+		rg.lease, rg.written = 0, false
+	default:
+		klog.V(1).InfoS("store: registration failed", "err", err)
+	}
+	return maxRetryDelay/2 + rand.N(maxRetryDelay)
+}
+
+func (rg *registration) renewOrWrite(ctx context.Context, store Store) error {
+	if rg.written {
+		return store.RenewLease(ctx, rg.lease)
+	}
+	if rg.lease == 0 {
+		lease, err := store.GrantLease(ctx, rg.leaseTTL)
+		if err != nil {
+			return err
 		}
+		rg.lease = lease
+	}
+	in := jpdirectory.Instance{ID: rg.id, DataCentre: rg.dataCentre, Peer: rg.peer}
+	if err := store.Register(ctx, in, rg.lease); err != nil {
+		return err
 	}
+	rg.written = true
+	return nil
 }
 
 // previousLease returns the lease of the entry that an earlier process of this
@@ -241,24 +287,3 @@
 	}
 	return 0
 }
-
-// registerOrRenew renews the lease, or registers this instance under a new one if
-// lease is 0.
-func (en *Entry) registerOrRenew(ctx context.Context, lease *uint64) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	store := en.store.Load()
-	if *lease != 0 {
-		return store.RenewLease(ctx, *lease)
-	}
-	id, err := store.GrantLease(ctx, max(leaseTTL, en.settings.MinLeaseTTL))
-	if err != nil {
-		return err
-	}
-	in := jpdirectory.Instance{ID: en.settings.ID, DataCentre: en.settings.DataCentre, Peer: en.settings.Peer}
-	if err := store.Register(ctx, in, id); err != nil {
-		return err
-	}
-	*lease = id
-	return nil
-}
