jppeer: let the leak check wait for the HTTP server after a part of the tests

Change: the check repeats for 2 s and fails on whatever still runs then. It is as strict: no goroutine is excepted.

--- a/io/jppeer/node_test.go
+++ b/io/jppeer/node_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"os"
 	"reflect"
 	"testing"
 	"time"
@@ -18,8 +19,30 @@
 	"jacinthpass/core/jpmember"
 )
 
+// leakTimeout is how long goroutines may go on after the tests. The HTTP server
+// waits for 500 ms after an error response before it closes the connection.
+const leakTimeout = 2 * time.Second
+
 func TestMain(m *testing.M) {
-	goleak.VerifyTestMain(m)
+	code := m.Run()
+	if code == 0 {
+		code = findLeaks()
+	}
+	os.Exit(code)
+}
+
+// findLeaks returns 1 and prints the goroutines that still run after leakTimeout.
+func findLeaks() int {
+	deadline := time.Now().Add(leakTimeout)
+	err := goleak.Find()
+	for err != nil && time.Now().Before(deadline) {
+		err = goleak.Find()
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return 0
 }
 
 type received struct {
