jpdispatch: refuse flows at once that no reachable server may take

Change: three checks that time out in another data centre, with no sign of life from it, make it unreachable for new flows. If all servers that may take a flow are silent or unreachable, and none has had its SYN, the flow is refused, and at most five checks a second test whether that is still so; the first sign of life makes the checks of the other silent servers there due. Open flows are reset only after a check of their own server, as before.

--- a/core/jpdispatch/check.go
+++ b/core/jpdispatch/check.go
@@ -13,13 +13,14 @@
 	SilentServerUsed                   // a packet arrived for a silent server
 	SilentCheckDue                     // a silent server may have recovered
 	EntryRemoved                       // the server left the directory and still has flows
-	PeerReport                         // a peer has found it silent
+	PeerReport                         // a peer has found it silent, or alive again
+	FlowRefused                        // a flow was refused because all servers are silent
 )
 
 var checkCauseNames = []string{
 	HandshakeOverdue: "handshake_overdue", SYNRepeated: "syn_repeated", DataRepeated: "data_repeated",
 	SilentServerUsed: "silent_server_used", SilentCheckDue: "silent_check_due", EntryRemoved: "entry_removed",
-	PeerReport: "peer_report",
+	PeerReport: "peer_report", FlowRefused: "flow_refused",
 }
 
 // String returns the name of the cause in logs, in snake case.
@@ -41,11 +42,12 @@
 const (
 	CheckInconclusive CheckResult = iota // neither the server nor a reference answered in time
 	CheckAnswered                        // the server's host accepts connections
-	CheckFailed                          // the host refused the connection, or only the references answered
+	CheckRefused                         // the host refused the connection
+	CheckTimedOut                        // only references answered
 )
 
 var checkResultNames = []string{
-	CheckInconclusive: "inconclusive", CheckAnswered: "answered", CheckFailed: "failed",
+	CheckInconclusive: "inconclusive", CheckAnswered: "answered", CheckRefused: "refused", CheckTimedOut: "timed_out",
 }
 
 // String returns the name of the result in logs, in snake case.
@@ -119,17 +121,49 @@
 	sr.checking = false
 	switch {
 	case result == CheckAnswered:
-		sr.noteAlive(now)
+		ds.noteAlive(now, sr)
 		sr.nextCheckAt = now.Add(checkInterval)
 	case result == CheckInconclusive || !began.After(ds.evidenceSince):
 		sr.nextCheckAt = now.Add(inconclusiveCheckDelay)
 		sr.synAt = time.Time{}
 	default:
+		if result == CheckTimedOut {
+			ds.timeouts[sr.cfg.DataCentre]++
+		}
 		sr.silent, sr.checkFailedAt = true, now
 		sr.nextCheckAt = now.Add(ds.silentCheckDelay(sr))
 	}
 }
 
+// noteAlive records that a server is alive, and so its data centre reachable. If it
+// was not, in another data centre, the checks of the silent servers there become due.
+func (ds *Dispatcher) noteAlive(now time.Time, sr *server) {
+	dataCentre := sr.cfg.DataCentre
+	if dataCentre != ds.dataCentre && ds.unreachable(sr) {
+		ds.checkSilentSoon(now, dataCentre)
+	}
+	sr.noteAlive(now)
+	delete(ds.timeouts, dataCentre)
+}
+
+// unreachable reports whether no packet is expected to reach a server: it is silent,
+// or several checks of servers in its data centre have timed out since one of them
+// was last seen alive. Only new flows are decided by the latter: an instance whose
+// data centre is cut off would otherwise need seconds to find each server of the
+// others silent, while callers wait for them.
+func (ds *Dispatcher) unreachable(sr *server) bool {
+	return sr.silent || sr.cfg.DataCentre != ds.dataCentre && ds.timeouts[sr.cfg.DataCentre] >= unreachableThreshold
+}
+
+// checkSilentSoon makes the checks of the silent servers of a data centre due.
+func (ds *Dispatcher) checkSilentSoon(now time.Time, dataCentre string) {
+	for _, sr := range ds.servers {
+		if sr.silent && sr.cfg.DataCentre == dataCentre {
+			sr.nextCheckAt = now
+		}
+	}
+}
+
 // DueChecks returns the servers that have to be checked now:
 //   - servers that left the directory and still have flows, because these flows
 //     are reset if the check fails and go on if it succeeds;
--- a/core/jpdispatch/check_test.go
+++ b/core/jpdispatch/check_test.go
@@ -49,17 +49,17 @@
 			}
 		}, false},
 		{"check failed", func(hn *harness, _ Packet, sr Endpoint) {
-			hn.HandleCheckResult(at(100), at(50), sr, CheckFailed)
+			hn.HandleCheckResult(at(100), at(50), sr, CheckTimedOut)
 		}, true},
 		{"check failed during a pause", func(hn *harness, _ Packet, sr Endpoint) {
 			hn.NotePause(at(80))
-			hn.HandleCheckResult(at(100), at(50), sr, CheckFailed)
+			hn.HandleCheckResult(at(100), at(50), sr, CheckTimedOut)
 		}, false},
 		{"check inconclusive", func(hn *harness, _ Packet, sr Endpoint) {
 			hn.HandleCheckResult(at(100), at(50), sr, CheckInconclusive)
 		}, false},
 		{"check failed, then answered", func(hn *harness, _ Packet, sr Endpoint) {
-			hn.HandleCheckResult(at(100), at(50), sr, CheckFailed)
+			hn.HandleCheckResult(at(100), at(50), sr, CheckTimedOut)
 			hn.HandleCheckResult(at(110), at(105), sr, CheckAnswered)
 		}, false},
 		{"entry expired 3 s ago", func(hn *harness, _ Packet, sr Endpoint) {
@@ -132,12 +132,12 @@
 	for _, row := range rows {
 		hn := newHarness(t, row.server)
 		silent := hn.servers["i-1"].endpoint()
-		hn.HandleCheckResult(at(10), at(5), silent, CheckFailed)
+		hn.HandleCheckResult(at(10), at(5), silent, CheckTimedOut)
 		count := 0
 		for ms := 100; ms <= 10_000; ms += 100 {
 			for _, check := range hn.DueChecks(at(ms)) {
 				count++
-				hn.HandleCheckResult(at(ms), at(ms), check.Server, CheckFailed)
+				hn.HandleCheckResult(at(ms), at(ms), check.Server, CheckTimedOut)
 			}
 		}
 		if count == 0 || count > row.most {
@@ -169,16 +169,16 @@
 // Guards against a flow that is reset because a check of its server failed before
 // the flow's first packet at this instance: the server may have restarted since.
 func TestSilentBeforeFlow(t *testing.T) {
-	for _, result := range []CheckResult{CheckFailed, CheckAnswered} {
+	for _, result := range []CheckResult{CheckTimedOut, CheckAnswered} {
 		hn := newHarness(t, deskServer(1, localDC))
 		sr := hn.servers["i-1"].endpoint()
-		hn.HandleCheckResult(at(0), at(-120), sr, CheckFailed)
+		hn.HandleCheckResult(at(0), at(-120), sr, CheckTimedOut)
 		request := nextPacket(hn.newSYN(), 1, 100)
 		if dc := hn.wantDecision(hn.Handle(at(100), request), Forward, Tagged); dc.Check.Server != sr {
 			t.Errorf("check of %+v, want %+v", dc.Check, sr)
 		}
 		hn.HandleCheckResult(at(200), at(100), sr, result)
-		if resets := hn.runTicks(at(200), at(300)); len(resets) > 0 != (result == CheckFailed) {
+		if resets := hn.runTicks(at(200), at(300)); len(resets) > 0 != (result == CheckTimedOut) {
 			t.Errorf("check %v, resets %v", result, resets)
 		}
 	}
--- a/core/jpdispatch/dispatcher.go
+++ b/core/jpdispatch/dispatcher.go
@@ -60,6 +60,7 @@
 	serversByTag   map[uint32]*server // includes servers that left the directory
 	dataCentresOut map[string]bool    // by name of the data centre
 	flows          *jpflow.Table[FlowKey, flow]
+	timeouts       map[string]int       // checks that timed out since a server was seen alive, by data centre
 	unknownTags    map[uint32]time.Time // end of the grace period, by tag
 	lastTick       time.Time
 	evidenceSince  time.Time // observations of servers before this time are ignored
@@ -82,6 +83,7 @@
 		serversByTag:   map[uint32]*server{},
 		dataCentresOut: map[string]bool{},
 		flows:          jpflow.New[FlowKey, flow](maxFlows),
+		timeouts:       map[string]int{},
 		unknownTags:    map[uint32]time.Time{},
 	}
 }
--- a/core/jpdispatch/dispatcher_test.go
+++ b/core/jpdispatch/dispatcher_test.go
@@ -21,7 +21,7 @@
 		syn := hn.newSYN()
 		first := hn.wantDecision(hn.Handle(at(0), syn), Forward, Placed)
 		if row.checked {
-			hn.HandleCheckResult(at(50), at(40), first.Server, CheckFailed)
+			hn.HandleCheckResult(at(50), at(40), first.Server, CheckTimedOut)
 		}
 		if row.paused {
 			hn.NotePause(at(51))
@@ -208,7 +208,7 @@
 	hn.runTicks(at(100), at(200))
 	hn.wantDecision(hn.Handle(at(200), placed), Forward, Known)
 
-	if dc := New(localDC).Handle(at(0), hn.newSYN()); dc.Outcome != Drop || dc.Reason != NotReady {
+	if dc := New(localDC).Handle(at(0), hn.newSYN()); dc.Outcome != Hold || dc.Reason != NotReady {
 		t.Errorf("no manifest yet: %+v", dc)
 	}
 }
@@ -317,7 +317,7 @@
 func TestSYNAfterReset(t *testing.T) {
 	hn := newHarness(t, deskServer(1, localDC), deskServer(2, localDC))
 	syn, sr := hn.open(at(0))
-	hn.HandleCheckResult(at(100), at(50), sr, CheckFailed)
+	hn.HandleCheckResult(at(100), at(50), sr, CheckTimedOut)
 	if resets := hn.runTicks(at(100), at(300)); len(resets) != 1 {
 		t.Fatalf("resets %v, want one", resets)
 	}
--- a/core/jpdispatch/fleet_test.go
+++ b/core/jpdispatch/fleet_test.go
@@ -65,7 +65,7 @@
 func (fl *fleet) step(now time.Time) {
 	for no, in := range fl.instances {
 		for _, pc := range in.pending {
-			result := CheckFailed
+			result := CheckTimedOut
 			if fl.answers(in, in.servers[pc.check.Server.ID]) {
 				result = CheckAnswered
 			}
--- a/core/jpdispatch/handle.go
+++ b/core/jpdispatch/handle.go
@@ -12,7 +12,7 @@
 // Handle decides what to do with a packet of a caller.
 func (ds *Dispatcher) Handle(now time.Time, pk Packet) Decision {
 	if !ds.hasManifest {
-		return Decision{Reason: NotReady}
+		return Decision{Outcome: Hold, Reason: NotReady}
 	}
 	if pk.Flags&SYN != 0 {
 		return ds.handleSYN(now, pk)
@@ -105,7 +105,7 @@
 	fl.assign(sr)
 	fl.state = open
 	if fl.triedCount > 0 {
-		sr.noteAlive(now)
+		ds.noteAlive(now, sr)
 	}
 	return fl, Decision{Reason: reason}
 }
@@ -212,7 +212,7 @@
 	sr := fl.server
 	if pk.Flags&ACK != 0 && (fl.lastAck == 0 || int32(pk.Ack-fl.lastAck) > 0) {
 		if fl.lastAck != 0 {
-			sr.noteAlive(now)
+			ds.noteAlive(now, sr)
 		}
 		fl.lastAck = pk.Ack
 		fl.clearWaiting()
--- a/core/jpdispatch/packet.go
+++ b/core/jpdispatch/packet.go
@@ -45,6 +45,7 @@
 	Forward         // to Decision.Server, with its tag
 	Refuse          // reset a flow that no server has received anything of
 	Reset           // reset an open flow that can't go on
+	Hold            // handle it again once the directory has a manifest
 )
 
 // Reason says why a packet got its outcome.
@@ -58,7 +59,8 @@
 	Tagged                     // packet of another flow; its tag names the server
 	NotReady                   // the directory has no manifest yet
 	NoRoute                    // no route has the address
-	NoServer                   // no server of the service can take the flow
+	NoServer                   // no server of the service may take the flow
+	Unreachable                // checks say that no server that may take the flow can be reached
 	UnknownTag                 // the tag names no server
 	ServerGone                 // the flow's server has left the directory
 	ServerSilent               // a check of the flow's server failed
@@ -73,7 +75,7 @@
 
 var reasonNames = [Reasons]string{
 	Placed: "placed", Moved: "moved", Known: "known", Tagged: "tagged", NotReady: "not_ready",
-	NoRoute: "no_route", NoServer: "no_server", UnknownTag: "unknown_tag", ServerGone: "server_gone",
+	NoRoute: "no_route", NoServer: "no_server", Unreachable: "unreachable", UnknownTag: "unknown_tag", ServerGone: "server_gone",
 	ServerSilent: "server_silent", RouteRemoved: "route_removed", StrayReset: "stray_reset", Late: "late",
 }
 
--- a/core/jpdispatch/place.go
+++ b/core/jpdispatch/place.go
@@ -44,7 +44,7 @@
 	}
 	sr, choices := ds.chooseServer(now, rt, pk, fl)
 	if sr == nil {
-		return ds.noServer(fl, pk, check)
+		return ds.noServer(now, rt, pk, fl, check)
 	}
 	if fl == nil {
 		added, err := ds.flows.Add(key)
@@ -75,24 +75,64 @@
 
 // noServer refuses a flow that no server can take. If an earlier SYN of the flow
 // was sent to a server, the retransmission goes to the same one, because the flow
-// may still open there.
-func (ds *Dispatcher) noServer(fl *flow, pk Packet, check Check) Decision {
+// may still open there. If unreachable servers are the reason, the decision contains a
+// check of one of them, so that flows are accepted again soon after they recover.
+func (ds *Dispatcher) noServer(now time.Time, rt *jpdirectory.Route, pk Packet, fl *flow, check Check) Decision {
 	if fl != nil {
 		return Decision{Outcome: Forward, Reason: Known, Server: fl.server.endpoint(), Check: check}
 	}
-	return Decision{Outcome: Refuse, Reason: NoServer, Reset: resetOf(pk, NoServer)}
+	dc := Decision{Outcome: Refuse, Reason: NoServer, Reset: resetOf(pk, NoServer)}
+	servers := ds.eligibleUnreachable(ds.services[pickService(rt, pk)])
+	if len(servers) > 0 {
+		dc.Reason, dc.Reset.Reason = Unreachable, Unreachable
+		dc.Check = ds.checkAfterRefusal(now, servers)
+	}
+	return dc
+}
+
+// eligibleUnreachable returns the servers of a service that might get new flows if
+// they were reachable.
+func (ds *Dispatcher) eligibleUnreachable(sc *service) []*server {
+	if sc == nil {
+		return nil
+	}
+	var list []*server
+	for _, sr := range sc.servers {
+		if ds.unreachable(sr) && ds.eligible(sc, sr) {
+			list = append(list, sr)
+		}
+	}
+	return list
+}
+
+// checkAfterRefusal returns a check of the server whose last failed check is the
+// oldest, unless one of the servers is being checked or was within
+// refusalCheckInterval.
+func (ds *Dispatcher) checkAfterRefusal(now time.Time, servers []*server) Check {
+	oldest := servers[0]
+	for _, sr := range servers {
+		if sr.checking || now.Sub(sr.checkFailedAt) < refusalCheckInterval {
+			return Check{}
+		}
+		if sr.checkFailedAt.Before(oldest.checkFailedAt) {
+			oldest = sr
+		}
+	}
+	return ds.beginCheck(oldest, FlowRefused)
 }
 
 // chooseServer selects the server for a new flow: the one with the least load per
 // slot among those that can take it. Warm servers come first, then cold ones
-// within their rate, then warm ones that may not answer. It also returns the
-// number of candidates.
+// within their rate, then warm ones that may not answer. Unreachable servers are left
+// out: a flow that only they could take is refused at once instead of keeping its
+// caller waiting, as when a data centre whose servers are out is cut off. It also
+// returns the number of candidates.
 func (ds *Dispatcher) chooseServer(now time.Time, rt *jpdirectory.Route, pk Packet, fl *flow) (*server, int) {
 	sc := ds.services[pickService(rt, pk)]
 	if sc == nil {
 		return nil, 0
 	}
-	for _, accepts := range []func(time.Time, *service, *server) bool{ds.available, ds.coldAvailable, ds.warm} {
+	for _, accepts := range []func(time.Time, *service, *server) bool{ds.available, ds.coldAvailable, ds.mayAnswer} {
 		if sr, choices := ds.leastLoaded(now, sc, pk, fl, accepts); sr != nil {
 			return sr, choices
 		}
@@ -106,7 +146,7 @@
 	sc := ds.services[pickService(rt, pk)]
 	var chosen *server
 	choices := 0
-	for _, accepts := range []func(time.Time, *service, *server) bool{ds.available, ds.warm} {
+	for _, accepts := range []func(time.Time, *service, *server) bool{ds.available, ds.mayAnswer} {
 		for _, sr := range sc.servers {
 			if !ds.eligible(sc, sr) || !accepts(now, sc, sr) {
 				continue
@@ -158,7 +198,7 @@
 }
 
 func (ds *Dispatcher) suspected(now time.Time, sr *server) bool {
-	return sr.silent || sr.handshakeOverdue(now) || now.Before(sr.avoidUntil)
+	return ds.unreachable(sr) || sr.handshakeOverdue(now) || now.Before(sr.avoidUntil)
 }
 
 // coldAvailable reports whether a cold server may get a flow from this instance
@@ -168,9 +208,9 @@
 	return sr.cold(now, sc) && !ds.suspected(now, sr) && !now.Before(first) && !now.Before(sr.nextColdAt)
 }
 
-// warm reports whether a server is warm, even if it may not answer.
-func (ds *Dispatcher) warm(now time.Time, sc *service, sr *server) bool {
-	return !sr.cold(now, sc)
+// mayAnswer reports whether a server is warm and at most suspected.
+func (ds *Dispatcher) mayAnswer(now time.Time, sc *service, sr *server) bool {
+	return !sr.cold(now, sc) && !ds.unreachable(sr)
 }
 
 // minColdPerSecond is the rate of new flows per second that any cold server can
--- a/core/jpdispatch/server.go
+++ b/core/jpdispatch/server.go
@@ -37,6 +37,15 @@
 	silentCheckInterval       = 1500 * time.Millisecond
 	remoteSilentCheckInterval = 4 * silentCheckInterval
 
+	// unreachableThreshold is the number of checks of servers of another data centre
+	// that time out, with no sign of life in between, before the data centre is
+	// taken to be cut off.
+	unreachableThreshold = 3
+
+	// refusalCheckInterval is the minimum time between two checks that refused
+	// flows lead to, for each service.
+	refusalCheckInterval = 200 * time.Millisecond
+
 	// checkersPerServer is the number of instances of a data centre that check a
 	// silent server at the intervals above.
 	checkersPerServer = 2
--- a/core/jpdispatch/sim_test.go
+++ b/core/jpdispatch/sim_test.go
@@ -306,7 +306,7 @@
 	}
 	sr := sm.serverAt(server.Address)
 	answered := sr != nil && sm.reaches(in, sr.cfg.DataCentre)
-	result := CheckFailed
+	result := CheckTimedOut
 	if answered {
 		result = CheckAnswered
 	}
--- a/io/jpentry/check.go
+++ b/io/jpentry/check.go
@@ -56,8 +56,8 @@
 	}()
 }
 
-// probe opens a connection to an address and closes it. The result is CheckFailed
-// if the host refused the connection, or if failureThreshold attempts timed out
+// probe opens a connection to an address and closes it. The result is CheckTimedOut
+// if failureThreshold attempts timed out
 // while this process was scheduled and, from the second one on, a reference
 // answered in the same time.
 func probe(dial dialFunc, address netip.AddrPort, references []jpdispatch.Endpoint) (result jpdispatch.CheckResult, err error) {
@@ -72,7 +72,7 @@
 			return jpdispatch.CheckAnswered, nil
 		}
 		if errors.Is(err, syscall.ECONNREFUSED) {
-			return jpdispatch.CheckFailed, err
+			return jpdispatch.CheckRefused, err
 		}
 		// Errors other than timeouts are local to this machine.
 		var ne net.Error
@@ -81,7 +81,7 @@
 			failed++
 		}
 		if failed == failureThreshold {
-			return jpdispatch.CheckFailed, err
+			return jpdispatch.CheckTimedOut, err
 		}
 	}
 	return jpdispatch.CheckInconclusive, err
--- a/io/jpentry/check_test.go
+++ b/io/jpentry/check_test.go
@@ -25,7 +25,7 @@
 	if err := listener.Close(); err != nil {
 		t.Fatal(err)
 	}
-	if result, err := probe(dial, address, nil); result != jpdispatch.CheckFailed {
+	if result, err := probe(dial, address, nil); result != jpdispatch.CheckRefused {
 		t.Errorf("check of a host without a listener: %v, %v", result, err)
 	}
 	// A local error says nothing about the host.
@@ -49,16 +49,16 @@
 		errs       map[netip.AddrPort]error
 		want       jpdispatch.CheckResult
 	}{
-		{"no reference is known", nil, map[netip.AddrPort]error{target: timeout}, jpdispatch.CheckFailed},
-		{"a reference answers", []jpdispatch.Endpoint{local}, map[netip.AddrPort]error{target: timeout}, jpdispatch.CheckFailed},
+		{"no reference is known", nil, map[netip.AddrPort]error{target: timeout}, jpdispatch.CheckTimedOut},
+		{"a reference answers", []jpdispatch.Endpoint{local}, map[netip.AddrPort]error{target: timeout}, jpdispatch.CheckTimedOut},
 		{"a reference refuses", []jpdispatch.Endpoint{local},
-			map[netip.AddrPort]error{target: timeout, local.Address: refused}, jpdispatch.CheckFailed},
+			map[netip.AddrPort]error{target: timeout, local.Address: refused}, jpdispatch.CheckTimedOut},
 		{"only the remote reference answers", []jpdispatch.Endpoint{local, remote},
-			map[netip.AddrPort]error{target: timeout, local.Address: timeout}, jpdispatch.CheckFailed},
+			map[netip.AddrPort]error{target: timeout, local.Address: timeout}, jpdispatch.CheckTimedOut},
 		{"no reference answers", []jpdispatch.Endpoint{local, remote},
 			map[netip.AddrPort]error{target: timeout, local.Address: timeout, remote.Address: timeout}, jpdispatch.CheckInconclusive},
 		{"refused, no reference answers", []jpdispatch.Endpoint{local},
-			map[netip.AddrPort]error{target: refused, local.Address: timeout}, jpdispatch.CheckFailed},
+			map[netip.AddrPort]error{target: refused, local.Address: timeout}, jpdispatch.CheckRefused},
 	}
 	for _, row := range rows {
 		dial := func(address netip.AddrPort) error { return row.errs[address] }
