jpentry: hold packets until the directory is read, and log less at the start

Cause (all instances lose power): 0.1 s pass between the first log line of an instance and its directory; packets that arrived meanwhile were dropped, so that their callers waited for the next copy, after up to 1.6 s. With 293 servers and 231 instances about 50 ms of that were log lines, one for each, of which 1,024 fit into the queue, so that 'entry: ready' was lost. Change: such packets wait in a bounded queue for at most 0.6 s. A full read logs more than 16 servers, and a view more than 16 instances, as one line. Besides: messages and bytes to peers by kind in the metrics, and in the log every 10 s. TestPacketsBeforeManifest and TestLinesAtStart fail without it (no packet arrives; over 600 lines). The outcome of a packet before the manifest is 'hold' now, the check in TestRefusals is as strict.

--- a/io/jpentry/entry.go
+++ b/io/jpentry/entry.go
@@ -55,6 +55,8 @@
 	lastPacket    atomic.Int64  // receive time of the last packet from a caller, Unix ns
 	manifestKnown chan struct{} // closed once the directory has a manifest
 
+	nextTrafficLog time.Time // used by tick only
+
 	mu             sync.Mutex // guards the fields below
 	dispatcher     *jpdispatch.Dispatcher
 	directory      *jpdirectory.Directory
@@ -65,6 +67,7 @@
 	nextStatus     time.Time // when the next status is due
 	statusRevision uint64    // revision in the last status sent to peers
 	requestLimiter *jpdirectory.RequestLimiter
+	held           jpdispatch.HoldQueue[[]byte] // packets received before the directory had a manifest
 }
 
 // storeHandle is a client of the store with the address it was opened for.
--- a/io/jpentry/log_test.go
+++ b/io/jpentry/log_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"bytes"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
 
 	"go.uber.org/goleak"
+	"k8s.io/klog/v2"
+
+	"jacinthpass/core/jpdirectory"
 )
 
 // blockedWriter blocks writes until it is released, as a pipe does whose reader
@@ -70,3 +74,34 @@
 		t.Errorf("%d lines in 2 s, %d suppressed", allowed, ll.suppressed.Load())
 	}
 }
+
+// Guards against a starting instance that logs every server and every instance,
+// which delayed its first packets by up to 50 ms with 293 servers and 0.2 of a core.
+func TestLinesAtStart(t *testing.T) {
+	var out bytes.Buffer
+	klog.LogToStderr(false)
+	klog.SetOutput(&out)
+	t.Cleanup(func() { klog.LogToStderr(true) })
+	en := newTestEntry(t, &registryStore{})
+	up := jpdirectory.Update{Revision: 700, Full: true, CurrentAt: time.Now(), Records: []jpdirectory.Record{{
+		Key: jpdirectory.Key{Kind: jpdirectory.ManifestRecord}, Revision: 1, Manifest: &jpdirectory.Manifest{Version: 1},
+	}}}
+	for no := range 300 {
+		server := &jpdirectory.Server{ID: fmt.Sprintf("i-%d", no), Number: uint64(no), Service: "desk"}
+		instance := &jpdirectory.Instance{ID: fmt.Sprintf("127.0.1.%d", no), DataCentre: "hobart"}
+		up.Records = append(up.Records,
+			jpdirectory.Record{Key: jpdirectory.Key{Kind: jpdirectory.ServerRecord, Name: server.ID}, Revision: uint64(2 + no), Server: server},
+			jpdirectory.Record{Key: jpdirectory.Key{Kind: jpdirectory.InstanceRecord, Name: instance.ID}, Revision: uint64(302 + no), Instance: instance})
+	}
+	en.handleStoreUpdate(up)
+	en.tick(time.Now())
+	klog.Flush()
+	if lines := strings.Count(out.String(), "\n"); lines > 2*maxLinesPerUpdate {
+		t.Errorf("%d lines, want at most %d", lines, 2*maxLinesPerUpdate)
+	}
+	for _, line := range []string{`"directory: servers" changed=300`, `"member: states" changed=301`, `"entry: ready"`} {
+		if !strings.Contains(out.String(), line) {
+			t.Errorf("the log has no line with %s:\n%s", line, out.String())
+		}
+	}
+}
--- a/io/jpentry/metrics.go
+++ b/io/jpentry/metrics.go
@@ -14,6 +14,7 @@
 	"k8s.io/klog/v2"
 
 	"jacinthpass/core/jpdispatch"
+	"jacinthpass/io/jppeer"
 )
 
 // metricsInterval is how often the served metrics are updated.
@@ -25,6 +26,7 @@
 	tags            map[string]string
 	packetsByReason [jpdispatch.Reasons]atomic.Uint64
 	malformed       atomic.Uint64
+	droppedNotReady atomic.Uint64 // packets for which HoldQueue had no room
 	readErrors      atomic.Uint64
 	sendErrors      atomic.Uint64
 	storeErrors     atomic.Uint64
@@ -81,7 +83,7 @@
 
 // flush reports to a scope by how much each counter has grown since the last
 // call, and the gauges. reported holds the counter values reported so far.
-func (mt *metrics) flush(scope tally.Scope, dropped droppedLines, reported map[string]uint64) {
+func (mt *metrics) flush(scope tally.Scope, dropped droppedLines, peers jppeer.Stats, reported map[string]uint64) {
 	reportCounter := func(name string, tags map[string]string, key string, value uint64) {
 		scope.Tagged(tags).Counter(name).Inc(int64(value - reported[name+key]))
 		reported[name+key] = value
@@ -95,6 +97,7 @@
 		from *atomic.Uint64
 	}{
 		{"malformed_packets_total", &mt.malformed},
+		{"not_ready_drops_total", &mt.droppedNotReady},
 		{"read_errors_total", &mt.readErrors},
 		{"send_errors_total", &mt.sendErrors},
 		{"store_errors_total", &mt.storeErrors},
@@ -105,6 +108,15 @@
 	}
 	reportCounter("log_lines_dropped_total", map[string]string{"reason": "budget"}, "budget", dropped.rateLimited)
 	reportCounter("log_lines_dropped_total", map[string]string{"reason": "queue"}, "queue", dropped.queueFull)
+	for direction, traffic := range map[string]map[string]jppeer.MessageTraffic{"sent": peers.Written, "received": peers.Read} {
+		for kind, tr := range traffic {
+			tags := map[string]string{"kind": kind, "direction": direction}
+			reportCounter("peer_messages_total", tags, direction+kind, tr.Messages)
+			reportCounter("peer_message_bytes_total", tags, direction+kind, tr.Bytes)
+		}
+	}
+	reportCounter("peer_connection_bytes_total", map[string]string{"direction": "sent"}, "sent", peers.ConnectionBytesWritten)
+	reportCounter("peer_connection_bytes_total", map[string]string{"direction": "received"}, "received", peers.ConnectionBytesRead)
 	total := uint64(0)
 	for ix := range mt.decisionTimes.counts {
 		total += mt.decisionTimes.counts[ix].Load()
@@ -114,6 +126,7 @@
 		}
 		reportCounter("decision_seconds_bucket", map[string]string{"le": limit}, limit, total)
 	}
+	scope.Gauge("peers").Update(float64(peers.OutgoingConnections))
 	scope.Gauge("flows").Update(float64(mt.flows.Load()))
 	scope.Gauge("servers").Update(float64(mt.servers.Load()))
 	scope.Gauge("silent_servers").Update(float64(mt.silentServers.Load()))
@@ -143,7 +156,7 @@
 			if en.options.Log != nil {
 				dropped.queueFull = en.options.Log.Dropped()
 			}
-			en.metrics.flush(scope, dropped, reported)
+			en.metrics.flush(scope, dropped, en.peers.Stats(), reported)
 			sleep(ctx, metricsInterval)
 		}
 	}()
--- a/io/jpentry/packets.go
+++ b/io/jpentry/packets.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -59,6 +60,8 @@
 	case jpdispatch.Forward:
 		en.platform.Codec.ToServer(buffer, dc.Server)
 		en.send(buffer[:headroom+size], dc.Server.Address)
+	case jpdispatch.Hold:
+		en.hold(now, buffer[headroom:headroom+size])
 	case jpdispatch.Refuse, jpdispatch.Reset:
 		en.sendReset(dc.Reset)
 	}
@@ -71,6 +74,33 @@
 	en.metrics.decisionTimes.observe(time.Since(now))
 }
 
+// hold keeps a copy of a packet until the directory has a manifest, unless the
+// directory got one meanwhile or too many packets wait.
+func (en *Entry) hold(now time.Time, packet []byte) {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	if en.directory.Manifest() == nil && en.held.Add(now, slices.Clone(packet)) {
+		return
+	}
+	en.metrics.droppedNotReady.Add(1)
+}
+
+// handleHeld handles the packets that were held.
+func (en *Entry) handleHeld() {
+	en.mu.Lock()
+	packets := en.held.Take(time.Now())
+	en.mu.Unlock()
+	if len(packets) == 0 {
+		return
+	}
+	headroom := en.platform.Codec.Headroom()
+	buffer := make([]byte, headroom+en.platform.MaxDatagramSize)
+	for _, packet := range packets {
+		en.handlePacket(buffer, headroom, copy(buffer[headroom:], packet))
+	}
+	klog.InfoS("entry: held packets handled", "count", len(packets))
+}
+
 // sendReset sends a reset to a caller.
 func (en *Entry) sendReset(rs jpdispatch.ResetPacket) {
 	en.send(en.platform.Codec.Reset(rs), netip.AddrPortFrom(rs.Caller.Addr(), en.settings.CallerPort))
@@ -108,7 +138,7 @@
 }
 
 var outcomeNames = []string{
-	jpdispatch.Drop: "drop", jpdispatch.Forward: "forward", jpdispatch.Refuse: "refuse", jpdispatch.Reset: "reset",
+	jpdispatch.Drop: "drop", jpdispatch.Hold: "hold", jpdispatch.Forward: "forward", jpdispatch.Refuse: "refuse", jpdispatch.Reset: "reset",
 }
 
 func outcomeName(oc jpdispatch.Outcome) string { return outcomeNames[oc] }
