jpdispatch: let costs follow events instead of the number of servers

Change: the sum of the peers' loads is kept as reports come; servers of other data centres are looked at only if the best local one has a high load; services are rebuilt only if their servers change; expiry runs once a second, counts for the metrics too, and a check's effect on the server is returned instead of counted before and after. TestPlacementFindsLeastLoaded compares placing with a search of all servers.

--- a/core/jpdispatch/check.go
+++ b/core/jpdispatch/check.go
@@ -111,14 +111,25 @@
 	return !sr.synAt.IsZero() && now.Sub(sr.synAt) >= handshakeTimeout
 }
 
+// Silence says how the result of a check has changed what is known of a server.
+type Silence uint8
+
+// Values of Silence.
+const (
+	SilenceUnchanged Silence = iota
+	SilenceBegan             // the server counts as silent from now on
+	SilenceEnded             // the server answers again
+)
+
 // HandleCheckResult handles the result of a check that began at a time. A failure
 // is inconclusive if this instance was paused during the check.
-func (ds *Dispatcher) HandleCheckResult(now, began time.Time, server Endpoint, result CheckResult) {
+func (ds *Dispatcher) HandleCheckResult(now, began time.Time, server Endpoint, result CheckResult) Silence {
 	sr := ds.serversByTag[server.Tag]
 	if sr == nil || sr.cfg.ID != server.ID || sr.cfg.Address != server.Address {
-		return
+		return SilenceUnchanged
 	}
 	sr.checking = false
+	wasSilent := sr.silent
 	switch {
 	case result == CheckAnswered:
 		ds.noteAlive(now, sr)
@@ -133,6 +144,13 @@
 		sr.silent, sr.checkFailedAt = true, now
 		sr.nextCheckAt = now.Add(ds.silentCheckDelay(sr))
 	}
+	switch {
+	case sr.silent && !wasSilent:
+		return SilenceBegan
+	case !sr.silent && wasSilent:
+		return SilenceEnded
+	}
+	return SilenceUnchanged
 }
 
 // noteAlive records that a server is alive, and so its data centre reachable. If it
--- a/core/jpdispatch/dispatcher.go
+++ b/core/jpdispatch/dispatcher.go
@@ -1,7 +1,10 @@
 package jpdispatch
 
 import (
+	"cmp"
 	"net/netip"
+	"slices"
+	"sort"
 	"time"
 
 	"jacinthpass/core/jpdirectory"
@@ -63,12 +66,14 @@
 	timeouts       map[string]int       // checks that timed out since a server was seen alive, by data centre
 	unknownTags    map[uint32]time.Time // end of the grace period, by tag
 	lastTick       time.Time
+	nextExpiry     time.Time
 	evidenceSince  time.Time // observations of servers before this time are ignored
 }
 
 type service struct {
 	cfg     jpdirectory.Service
-	servers []*server
+	servers []*server // of this instance's data centre first
+	local   int       // number of servers in this instance's data centre
 }
 
 // New returns the dispatcher of an instance in a data centre.
@@ -94,17 +99,21 @@
 	if len(records) == 0 {
 		return
 	}
+	reassign := false
 	for _, rc := range records {
 		switch rc.Key.Kind {
 		case jpdirectory.ManifestRecord:
 			ds.applyManifest(rc.Manifest)
+			reassign = true
 		case jpdirectory.ServerRecord:
-			ds.applyServer(now, rc.Key.Name, rc.Server)
+			reassign = ds.applyServer(now, rc.Key.Name, rc.Server) || reassign
 		case jpdirectory.DataCentreOutRecord:
 			ds.applyDataCentreOut(now, rc.Key.Name, rc.DataCentreOut)
 		}
 	}
-	ds.assignServers()
+	if reassign {
+		ds.assignServers()
+	}
 }
 
 // SetFreshness sets the latest time at which the directory was up to date, and
@@ -160,21 +169,24 @@
 	}
 }
 
-func (ds *Dispatcher) applyServer(now time.Time, id string, cfg *jpdirectory.Server) {
+// applyServer applies the entry of a server, or its removal. It reports whether the
+// servers of services may have changed.
+func (ds *Dispatcher) applyServer(now time.Time, id string, cfg *jpdirectory.Server) (reassign bool) {
 	previous := ds.servers[id]
 	if cfg == nil {
 		if previous != nil {
 			previous.markLeft(now, ds.currentAt)
 		}
-		return
+		return previous != nil
 	}
 	if previous != nil && previous.cfg.Started.Equal(cfg.Started) && previous.cfg.Address == cfg.Address {
 		if cfg.WarmAt.After(previous.cfg.WarmAt) {
 			previous.turnCold(now)
 		}
+		reassign = !previous.present || previous.cfg.Service != cfg.Service || previous.cfg.DataCentre != cfg.DataCentre
 		previous.cfg = *cfg
 		previous.present = true
-		return
+		return reassign
 	}
 	sr := newServer(*cfg)
 	sr.turnCold(now)
@@ -184,6 +196,7 @@
 		ds.serversByTag[sr.tag] = sr
 	}
 	delete(ds.unknownTags, sr.tag)
+	return true
 }
 
 // replace marks the servers that a new server replaces: previous, which had the
@@ -214,14 +227,29 @@
 		// A server whose tag belongs to another server gets no flows, because
 		// their packets would be forwarded to the other one.
 		if sr.present && sc != nil && ds.serversByTag[sr.tag] == sr {
+			sr.local = sr.cfg.DataCentre == ds.dataCentre
 			sc.servers = append(sc.servers, sr)
 		}
 	}
 	for _, sc := range ds.services {
-		sortServers(sc.servers)
+		sc.sortServers()
 	}
 }
 
+// sortServers sorts the servers by data centre, this instance's first, and id.
+func (sc *service) sortServers() {
+	slices.SortFunc(sc.servers, func(a, b *server) int {
+		if a.local != b.local {
+			if a.local {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a.cfg.ID, b.cfg.ID)
+	})
+	sc.local = sort.Search(len(sc.servers), func(ix int) bool { return !sc.servers[ix].local })
+}
+
 // endpoint returns the identity and address that packets to the server carry.
 func (sr *server) endpoint() Endpoint {
 	return Endpoint{ID: sr.cfg.ID, Tag: sr.tag, Number: sr.cfg.Number, Address: sr.cfg.Address}
--- a/core/jpdispatch/dispatcher_test.go
+++ b/core/jpdispatch/dispatcher_test.go
@@ -1,6 +1,9 @@
 package jpdispatch
 
 import (
+	"fmt"
+	"math"
+	"math/rand/v2"
 	"net/netip"
 	"testing"
 	"time"
@@ -340,3 +343,52 @@
 		}
 	}
 }
+
+// Guards against a placement that differs from a search of all servers: it looks at
+// other data centres only if the least loaded server of its own has a high load, and
+// adds up the loads of peers as they come.
+func TestPlacementFindsLeastLoaded(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	for round := range 200 {
+		var servers []jpdirectory.Server
+		for no := range 12 {
+			servers = append(servers, deskServer(no+1, []string{localDC, remoteDC, "devonport"}[rng.IntN(3)]))
+		}
+		hn := newHarness(t, servers...)
+		loads := map[string]int{}
+		for peer := range 3 {
+			for _, report := range []int{0, 1} { // the second report replaces the first
+				var list []Load
+				for no, sr := range servers {
+					flows := rng.IntN(100)
+					list = append(list, Load{Tag: uint32(no + 1), Flows: flows})
+					if report == 1 {
+						loads[sr.ID] += flows
+					}
+				}
+				hn.HandleLoads(at(100*report), fmt.Sprint(peer), list)
+			}
+		}
+		lowest := math.Inf(1)
+		score := func(sr jpdirectory.Server) float64 {
+			score := float64(loads[sr.ID]) / 2
+			if sr.DataCentre != localDC {
+				score += remotePenalty
+			}
+			return score
+		}
+		for _, sr := range servers {
+			lowest = min(lowest, score(sr))
+		}
+		dc := hn.wantDecision(hn.Handle(at(200), hn.newSYN()), Forward, Placed)
+		for _, sr := range servers {
+			if sr.ID == dc.Server.ID && score(sr) != lowest {
+				t.Fatalf("round %d: the flow went to a server with a score of %g, the lowest is %g", round, score(sr), lowest)
+			}
+		}
+		// All reports have expired.
+		if load := hn.servers[dc.Server.ID].load(at(1700)); load != 1 {
+			t.Fatalf("round %d: load %d after the reports have expired, want 1", round, load)
+		}
+	}
+}
--- a/core/jpdispatch/failure.go
+++ b/core/jpdispatch/failure.go
@@ -84,6 +84,9 @@
 func (ds *Dispatcher) FailingChanges(now time.Time) []FailingChange {
 	var list []FailingChange
 	for _, sr := range ds.servers {
+		if sr.stuckFlows == 0 && len(sr.failureExpiries) == 0 && !sr.reportedFailing {
+			continue
+		}
 		failing := sr.present && sr.localLoad(now) > sr.activeFlows
 		if failing != sr.reportedFailing {
 			sr.reportedFailing = failing
--- a/core/jpdispatch/place.go
+++ b/core/jpdispatch/place.go
@@ -163,22 +163,26 @@
 	return Decision{Outcome: Refuse, Reason: NoServer, Reset: resetOf(pk, NoServer)}
 }
 
+// leastLoaded returns the server with the least load per slot among those that
+// accepts selects, and the number of these. Servers of other data centres are looked
+// at only if they can have less.
 func (ds *Dispatcher) leastLoaded(now time.Time, sc *service, pk Packet, fl *flow, accepts func(time.Time, *service, *server) bool) (*server, int) {
 	var best *server
 	lowest, choices := math.Inf(1), 0
-	var highest uint64
-	for _, sr := range sc.servers {
+	for ix, sr := range sc.servers {
+		if ix == sc.local && lowest < remotePenalty {
+			break
+		}
 		if !ds.eligible(sc, sr) || fl != nil && fl.hasTried(sr.tag) || !accepts(now, sc, sr) {
 			continue
 		}
 		choices++
 		score := float64(sr.load(now)) / float64(max(sr.cfg.Slots, 1))
-		if sr.cfg.DataCentre != ds.dataCentre {
+		if ix >= sc.local {
 			score += remotePenalty
 		}
-		priority := tieBreak(pk, sr)
-		if score < lowest || score == lowest && priority > highest {
-			best, lowest, highest = sr, score, priority
+		if score < lowest || score == lowest && tieBreak(pk, sr) > tieBreak(pk, best) {
+			best, lowest = sr, score
 		}
 	}
 	if best != nil && best.cold(now, sc) {
--- a/core/jpdispatch/server.go
+++ b/core/jpdispatch/server.go
@@ -78,6 +78,7 @@
 	cfg              jpdirectory.Server
 	tag              uint32
 	present          bool
+	local            bool      // in this instance's data centre; set for the servers of services
 	replaced         bool      // another server process has its id or its address
 	successor        *server   // the same server after a restart
 	endedAt          time.Time // if it has restarted: flows first seen before this time ended with it
@@ -87,6 +88,8 @@
 	activeFlows      int       // flows of this instance that count as load
 	trackedFlows     int       // flow table entries of this instance
 	peerLoads        map[string]peerLoad
+	peerFlows        int       // sum of peerLoads
+	peerFlowsExpire  time.Time // at most the first expiry in peerLoads
 
 	aliveAt         time.Time // latest evidence that it is alive
 	synAt           time.Time // first SYN since then, zero if none
@@ -125,10 +128,6 @@
 	return uint32(xxhash.Sum64(data[:]))
 }
 
-func sortServers(list []*server) {
-	slices.SortFunc(list, func(a, b *server) int { return cmp.Compare(a.cfg.ID, b.cfg.ID) })
-}
-
 func (sr *server) markLeft(now, currentAt time.Time) {
 	if sr.present {
 		sr.present = false
@@ -163,15 +162,35 @@
 // load returns the load of the server in flows, as seen by this instance and
 // reported by its peers.
 func (sr *server) load(now time.Time) int {
-	sum := sr.localLoad(now)
+	if len(sr.peerLoads) > 0 && !now.Before(sr.peerFlowsExpire) {
+		sr.sumPeerLoads(now)
+	}
+	return sr.localLoad(now) + sr.peerFlows
+}
+
+// setPeerLoad sets the load that a peer reported.
+func (sr *server) setPeerLoad(now time.Time, peer string, flows int) {
+	ld := peerLoad{flows: flows, expires: now.Add(peerLoadTTL)}
+	if len(sr.peerLoads) == 0 {
+		sr.peerFlowsExpire = ld.expires
+	}
+	sr.peerFlows += flows - sr.peerLoads[peer].flows
+	sr.peerLoads[peer] = ld
+}
+
+// sumPeerLoads removes the expired loads of peers and adds up the others.
+func (sr *server) sumPeerLoads(now time.Time) {
+	sr.peerFlows, sr.peerFlowsExpire = 0, now.Add(peerLoadTTL)
 	for peer, ld := range sr.peerLoads {
 		if !now.Before(ld.expires) {
 			delete(sr.peerLoads, peer)
 			continue
 		}
-		sum += ld.flows
+		sr.peerFlows += ld.flows
+		if ld.expires.Before(sr.peerFlowsExpire) {
+			sr.peerFlowsExpire = ld.expires
+		}
 	}
-	return sum
 }
 
 // turnCold records that the server may have just become cold. While it is cold,
@@ -209,7 +228,7 @@
 func (ds *Dispatcher) HandleLoads(now time.Time, peer string, loads []Load) {
 	for _, ld := range loads {
 		if sr := ds.serversByTag[ld.Tag]; sr != nil {
-			sr.peerLoads[peer] = peerLoad{flows: ld.Flows, expires: now.Add(peerLoadTTL)}
+			sr.setPeerLoad(now, peer, ld.Flows)
 		}
 	}
 }
--- a/core/jpdispatch/tick.go
+++ b/core/jpdispatch/tick.go
@@ -10,6 +10,10 @@
 	// taken to have been paused. Packets may then have waited in its sockets.
 	pauseThreshold = 300 * time.Millisecond
 
+	// expiryInterval is the time between two searches for expired servers, tags and
+	// reports, which visit all of them.
+	expiryInterval = time.Second
+
 	// sweepCount is the number of flow table cells visited in each tick: 4,000
 	// flows take ten ticks, which is one second.
 	sweepCount = 400
@@ -27,7 +31,10 @@
 		ds.NotePause(now)
 	}
 	ds.lastTick = now
-	ds.expire(now)
+	if !now.Before(ds.nextExpiry) {
+		ds.nextExpiry = now.Add(expiryInterval)
+		ds.expire(now)
+	}
 	var resets []ResetPacket
 	ds.flows.Sweep(sweepCount, func(key FlowKey, fl *flow) bool {
 		if rs, ended := ds.resetIfLost(now, key, fl); ended {
--- a/io/jpentry/check.go
+++ b/io/jpentry/check.go
@@ -38,17 +38,16 @@
 		now := time.Now()
 		en.metrics.checks.Add(1)
 		en.mu.Lock()
-		silentBefore := en.dispatcher.Stats().Silent
-		en.dispatcher.HandleCheckResult(now, began, server, result)
-		silent := en.dispatcher.Stats().Silent
-		if silent > silentBefore {
+		silence := en.dispatcher.HandleCheckResult(now, began, server, result)
+		if silence == jpdispatch.SilenceBegan {
 			en.nextStatus = now
 		}
+		silent := en.dispatcher.Stats().Silent
 		en.mu.Unlock()
-		switch {
-		case silent > silentBefore:
+		switch silence {
+		case jpdispatch.SilenceBegan:
 			en.timeline.Add("check", "server_silent", server.ID, err.Error())
-		case silent < silentBefore:
+		case jpdispatch.SilenceEnded:
 			en.timeline.Add("check", "server_back", server.ID, "")
 		}
 		klog.InfoS("check: done", "server", server.ID, "address", server.Address, "cause", check.Cause,
--- a/io/jpentry/control.go
+++ b/io/jpentry/control.go
@@ -20,6 +20,9 @@
 	// see statusDue.
 	statusInterval = 500 * time.Millisecond
 
+	// statsInterval separates counts of all servers for the metrics.
+	statsInterval = time.Second
+
 	// trafficLogInterval separates the log lines on the traffic to peers.
 	trafficLogInterval = 10 * time.Second
 
@@ -56,8 +59,11 @@
 	neighbours := en.group.Neighbours()
 	checks := en.dispatcher.DueChecks(now)
 	changes := en.dispatcher.FailingChanges(now)
-	stats := en.dispatcher.Stats()
 	revision := en.directory.Revision()
+	if !now.Before(en.nextStats) {
+		en.nextStats = now.Add(statsInterval)
+		en.metrics.updateGauges(en.dispatcher.Stats(), revision, en.store.Load().totalCalls())
+	}
 	en.mu.Unlock()
 
 	for _, rs := range resets {
@@ -93,7 +99,6 @@
 		en.nextTrafficLog = now.Add(trafficLogInterval)
 		en.logTraffic()
 	}
-	en.metrics.updateGauges(stats, revision, en.store.Load().totalCalls())
 }
 
 // logTraffic logs the messages and bytes sent to peers since the start, by kind.
--- a/io/jpentry/entry.go
+++ b/io/jpentry/entry.go
@@ -56,6 +56,7 @@
 	manifestKnown chan struct{} // closed once the directory has a manifest
 
 	nextTrafficLog time.Time // used by tick only
+	nextStats      time.Time // used by tick only
 
 	mu             sync.Mutex // guards the fields below
 	dispatcher     *jpdispatch.Dispatcher
--- a/io/jpentry/entry_test.go
+++ b/io/jpentry/entry_test.go
@@ -111,6 +111,7 @@
 	scope := tally.NewTestScope("", nil)
 	reported := map[string]uint64{}
 	for _, want := range []int64{10, 12} {
+		en.nextStats = time.Time{}
 		en.tick(time.Now())
 		en.metrics.flush(scope, droppedLines{}, en.peers.Stats(), reported)
 		if calls := scope.Snapshot().Counters()["store_calls_total+"].Value(); calls != want {
