jpadmission: time the cold start of a refusing server from the end of its pause

Cause, found by reading while TestColdWithoutWarning was looked at: a cold server that refuses a flow without load gets no other for 1 s. It may stop refusing, and turn cold, at any time in that second, but its cold time was counted from the refusal, so that the owner's limits could double up to 1 s before the server's. Change: the cold time is counted from the end of the pause. TestColdFromEndOfPause failed before (slow start after 8.9 s of 9).

--- a/core/jpadmission/server.go
+++ b/core/jpadmission/server.go
@@ -174,14 +174,17 @@
 func (sv *Server) HandleRefusal(now time.Time) {
 	sv.shedCap = max(sv.Load(), 1)
 	sv.shedCapRaiseAt = now.Add(shedCapInterval)
-	if sv.Cold() {
-		// A cold server that refuses flows has not started to warm up yet.
-		sv.TurnCold(now)
-	}
+	refusesUntil := now
 	if sv.Load() == 0 {
 		// It refuses flows although it has no load, so another flow would only
 		// use up the service's retry budget.
 		sv.refusalPauseUntil = now.Add(refusalPause)
+		refusesUntil = sv.refusalPauseUntil
+	}
+	if sv.Cold() {
+		// A cold server that refuses flows has not started to warm up yet, and may
+		// not do so before the next flow.
+		sv.TurnCold(refusesUntil)
 	}
 }
 
--- a/core/jpadmission/server_test.go
+++ b/core/jpadmission/server_test.go
@@ -41,6 +41,21 @@
 	return 1000
 }
 
+// Guards against a slow start that begins before the server's own: a server that
+// refuses everything for a while turns cold when that ends, which may be at any time
+// until the next flow.
+func TestColdFromEndOfPause(t *testing.T) {
+	sv := newWarmServer(jpsettings.Stream)
+	sv.TurnCold(start)
+	sv.HandleRefusal(start)
+	if sv.Tick(secondsAfterStart(8.9)); sv.Stage() != Cold {
+		t.Errorf("stage %d 8.9 s after a refusal without load, want %d", sv.Stage(), Cold)
+	}
+	if sv.Tick(secondsAfterStart(9)); sv.Stage() != SlowStart {
+		t.Errorf("stage %d 9 s after a refusal without load, want %d", sv.Stage(), SlowStart)
+	}
+}
+
 // Guards against flows that are admitted in a state that does not allow them.
 func TestDecide(t *testing.T) {
 	tests := []struct {
