jpentry: close connections to instances that are no longer neighbours

Cause: peers were set only when the membership view changed. Change: the set of neighbours is compared in every tick. TestPeersFollowNeighbours failed before.

--- a/io/jpentry/control.go
+++ b/io/jpentry/control.go
@@ -76,9 +76,7 @@
 	for _, check := range checks {
 		en.checkServer(check)
 	}
-	if changed {
-		en.connectPeers(neighbours)
-	}
+	en.connectPeers(neighbours)
 	for _, ad := range heartbeats {
 		en.sendToPeer(ad.To, jppeer.Heartbeat{Member: ad.Heartbeat})
 	}
@@ -189,12 +187,18 @@
 
 func stateName(st jpmember.State) string { return stateNames[st] }
 
-// connectPeers sets the peers to which connections are kept.
+// connectPeers sets the peers to which connections are kept, if they have changed.
+// They may change without the view: an instance that starts is a neighbour of the
+// seeds until it knows others.
 func (en *Entry) connectPeers(neighbours []jpmember.Member) {
 	peers := make([]jppeer.Peer, 0, len(neighbours))
 	for _, mb := range neighbours {
 		peers = append(peers, jppeer.Peer{ID: mb.ID, Address: en.peerAddress(mb)})
 	}
+	if slices.Equal(peers, en.connectedPeers) {
+		return
+	}
+	en.connectedPeers = peers
 	en.peers.SetPeers(peers)
 }
 
--- a/io/jpentry/entry.go
+++ b/io/jpentry/entry.go
@@ -55,8 +55,10 @@
 	lastPacket    atomic.Int64  // receive time of the last packet from a caller, Unix ns
 	manifestKnown chan struct{} // closed once the directory has a manifest
 
-	nextTrafficLog time.Time // used by tick only
-	nextStats      time.Time // used by tick only
+	// The following fields are used by tick only.
+	nextTrafficLog time.Time
+	nextStats      time.Time
+	connectedPeers []jppeer.Peer // to which connections are kept
 
 	mu             sync.Mutex // guards the fields below
 	dispatcher     *jpdispatch.Dispatcher
--- a/io/jpentry/entry_test.go
+++ b/io/jpentry/entry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/netip"
 	"slices"
@@ -13,6 +14,8 @@
 
 	"jacinthpass/core/jpdirectory"
 	"jacinthpass/core/jpdispatch"
+	"jacinthpass/core/jpmember"
+	"jacinthpass/io/jppeer"
 )
 
 // registryStore records the calls for registrations. Each call fails with the
@@ -187,3 +190,31 @@
 		}
 	}
 }
+
+// Guards against connections to former neighbours: the seeds of a fleet of 195
+// instances kept one to each of the others.
+func TestPeersFollowNeighbours(t *testing.T) {
+	en := newTestEntry(t, &registryStore{})
+	now := time.Now()
+	const starter = "127.0.5.1" // five places from this instance in the ring
+	connected := func() bool {
+		return slices.ContainsFunc(en.connectedPeers, func(pr jppeer.Peer) bool { return pr.ID == starter })
+	}
+	for round := range 20 {
+		now = now.Add(jpmember.HeartbeatInterval)
+		for no := range 20 {
+			hb := jpmember.Heartbeat{
+				From: fmt.Sprintf("127.0.%d.1", no+1), DataCentre: "hobart", Incarnation: 1, State: jpmember.Alive, Sequence: uint64(round + 1),
+			}
+			hb.Monitoring = hb.From == starter && round < 4
+			en.group.HandleHeartbeat(now, hb)
+		}
+		en.tick(now)
+		if round == 3 && !connected() {
+			t.Error("there is no connection to an instance that monitors this one")
+		}
+	}
+	if connected() {
+		t.Error("the connection to an instance is kept although neither monitors the other")
+	}
+}
