jpdirectory: ask other data centres only if the own one does not help

Change: peers of other data centres are asked 0.5 s after an instance has learned that it is behind, if it still is; at once by an instance that knows nothing and cannot read the store. The rows of TestRequestLimiter for it fail without it.

--- a/core/jpdirectory/requests.go
+++ b/core/jpdirectory/requests.go
@@ -13,6 +13,12 @@
 	// 10 Mbit/s, and as much of processor time.
 	fullRequestInterval = time.Second
 
+	// remoteDelay is how long an instance waits for its own data centre before it
+	// requests changes from another one. A change takes one status interval from
+	// one instance to the next at most; without the delay, each instance next to a
+	// border would get most changes across it.
+	remoteDelay = 500 * time.Millisecond
+
 	// storeReadTime is how long a starting instance waits for its first read of
 	// the store before it requests all records from peers. 100 instances that
 	// start at the same time have read 1,100 records each within 0.3 s.
@@ -24,6 +30,8 @@
 type RequestLimiter struct {
 	storeReadUntil time.Time // end of the time reserved for the first read of the store
 	nextAt         time.Time
+	behindAt       uint64    // revision of the directory when a peer first reported a higher one
+	remoteFrom     time.Time // from then on, peers in other data centres may be asked
 }
 
 // NewRequestLimiter returns the limiter of an instance that starts to read the
@@ -38,9 +46,18 @@
 
 // Allow reports whether to send a request now to a peer whose directory has the
 // revision reported, and counts the request if so. known is the revision of this
-// instance's directory.
-func (rl *RequestLimiter) Allow(now time.Time, known, reported uint64) bool {
-	if reported <= known || now.Before(rl.nextAt) || known == 0 && now.Before(rl.storeReadUntil) {
+// instance's directory. A peer in another data centre, which is not local, is asked
+// only if those in this one have not helped for remoteDelay.
+func (rl *RequestLimiter) Allow(now time.Time, known, reported uint64, local bool) bool {
+	if reported <= known {
+		return false
+	}
+	if rl.remoteFrom.IsZero() || rl.behindAt != known {
+		rl.behindAt, rl.remoteFrom = known, now.Add(remoteDelay)
+	}
+	// An instance that knows nothing and can't read the store takes any help.
+	urgent := known == 0 && rl.storeReadUntil.IsZero()
+	if now.Before(rl.nextAt) || known == 0 && now.Before(rl.storeReadUntil) || !local && !urgent && now.Before(rl.remoteFrom) {
 		return false
 	}
 	rl.nextAt = now.Add(requestInterval)
--- a/core/jpdirectory/requests_test.go
+++ b/core/jpdirectory/requests_test.go
@@ -12,6 +12,7 @@
 		at              time.Duration
 		failed          bool // the read of the store has just failed
 		known, reported uint64
+		remote          bool // the peer is in another data centre
 		want            bool
 	}
 	rows := []struct {
@@ -32,7 +33,19 @@
 		}},
 		{"read of the store fails", []step{
 			{at: 0, reported: 6},
-			{at: 10 * time.Millisecond, failed: true, reported: 6, want: true},
+			{at: 10 * time.Millisecond, failed: true, reported: 6, remote: true, want: true},
+		}},
+		{"another data centre, while peers of this one help", []step{
+			{at: 0, known: 5, reported: 6, remote: true},
+			{at: 400 * time.Millisecond, known: 5, reported: 7, remote: true},
+			{at: 450 * time.Millisecond, known: 6, reported: 7, remote: true},
+			{at: 900 * time.Millisecond, known: 6, reported: 7, remote: true},
+			{at: 910 * time.Millisecond, known: 6, reported: 7, want: true},
+		}},
+		{"another data centre, without help", []step{
+			{at: 0, known: 5, reported: 6, remote: true},
+			{at: 499 * time.Millisecond, known: 5, reported: 6, remote: true},
+			{at: 500 * time.Millisecond, known: 5, reported: 6, remote: true, want: true},
 		}},
 	}
 	for _, row := range rows {
@@ -41,7 +54,7 @@
 			if st.failed {
 				rl.StoreReadFailed()
 			}
-			if got := rl.Allow(start.Add(st.at), st.known, st.reported); got != st.want {
+			if got := rl.Allow(start.Add(st.at), st.known, st.reported, !st.remote); got != st.want {
 				t.Errorf("%s: request after %v: %t, want %t", row.name, st.at, got, st.want)
 			}
 		}
--- a/io/jpentry/control.go
+++ b/io/jpentry/control.go
@@ -306,13 +306,14 @@
 		revision: ds.Revision, currentAt: now.Add(-ds.Age), storeUpSince: now.Add(-ds.StoreUptime), receivedAt: now,
 	}
 	en.dispatcher.HandleLoads(now, from, ds.Loads)
+	local := en.inDataCentre(from)
 	var checks []jpdispatch.Check
-	if en.inDataCentre(from) {
+	if local {
 		checks = en.dispatcher.HandleSilentServers(now, from, ds.SilentServers)
 	}
 	en.directory.Confirm(ds.Revision, now.Add(-ds.Age))
 	revision := en.directory.Revision()
-	requestDue := en.requestLimiter.Allow(now, revision, ds.Revision)
+	requestDue := en.requestLimiter.Allow(now, revision, ds.Revision, local)
 	en.mu.Unlock()
 	for _, check := range checks {
 		en.checkServer(check)
@@ -340,7 +341,7 @@
 	revision := en.directory.Revision()
 	peer := ""
 	for id, ps := range en.statuses {
-		if en.requestLimiter.Allow(now, revision, ps.revision) {
+		if en.requestLimiter.Allow(now, revision, ps.revision, en.inDataCentre(id)) {
 			peer = id
 			break
 		}
