jpdispatch: count different servers as evidence of a cut, for 5 s

Found on a second reading: repeated checks of one dead server counted as often as checks of different ones, and without flows to a data centre nothing ended the evidence, so that a living data centre could count as unreachable; a report of a peer that came within a second of a check was never followed; a copy of a SYN could be refused although an untracked earlier copy had been sent. TestUnreachableDataCentre and TestReportAfterCheck. Place is Position now.

--- a/core/jpdispatch/check.go
+++ b/core/jpdispatch/check.go
@@ -139,7 +139,7 @@
 		sr.synAt = time.Time{}
 	default:
 		if result == CheckTimedOut {
-			ds.timeouts[sr.cfg.DataCentre]++
+			ds.noteTimeout(now, sr)
 		}
 		sr.silent, sr.checkFailedAt = true, now
 		sr.nextCheckAt = now.Add(ds.silentCheckDelay(sr))
@@ -153,6 +153,26 @@
 	return SilenceUnchanged
 }
 
+// cutEvidence is what suggests that another data centre is cut off: checks of
+// different servers there that timed out since one of them was last seen alive.
+type cutEvidence struct {
+	servers int
+	expires time.Time
+}
+
+// noteTimeout records that a check of a server has timed out.
+func (ds *Dispatcher) noteTimeout(now time.Time, sr *server) {
+	ce := ds.cutEvidence[sr.cfg.DataCentre]
+	if !now.Before(ce.expires) {
+		ce.servers = 0
+	}
+	if !sr.silent {
+		ce.servers++
+	}
+	ce.expires = now.Add(cutEvidenceTTL)
+	ds.cutEvidence[sr.cfg.DataCentre] = ce
+}
+
 // noteAlive records that a server is alive, and so its data centre reachable. If it
 // was not, in another data centre, the checks of the silent servers there become due.
 func (ds *Dispatcher) noteAlive(now time.Time, sr *server) {
@@ -161,7 +181,7 @@
 		ds.checkSilentSoon(now, dataCentre)
 	}
 	sr.noteAlive(now)
-	delete(ds.timeouts, dataCentre)
+	delete(ds.cutEvidence, dataCentre)
 }
 
 // unreachable reports whether no packet is expected to reach a server: it is silent,
@@ -170,7 +190,11 @@
 // data centre is cut off would otherwise need seconds to find each server of the
 // others silent, while callers wait for them.
 func (ds *Dispatcher) unreachable(sr *server) bool {
-	return sr.silent || sr.cfg.DataCentre != ds.dataCentre && ds.timeouts[sr.cfg.DataCentre] >= unreachableThreshold
+	if sr.silent || sr.cfg.DataCentre == ds.dataCentre {
+		return sr.silent
+	}
+	ce := ds.cutEvidence[sr.cfg.DataCentre]
+	return ce.servers >= unreachableThreshold && ds.lastTick.Before(ce.expires)
 }
 
 // checkSilentSoon makes the checks of the silent servers of a data centre due.
@@ -238,12 +262,15 @@
 	reported := make(map[string]bool, len(ids))
 	var list []Check
 	for _, id := range ids {
-		reported[id] = true
 		sr := ds.servers[id]
-		if previous.ids[id] || sr == nil || sr.silent || !ds.atStake(sr) || sr.checking || now.Before(sr.nextCheckAt) {
-			continue
+		checkWanted := sr != nil && !previous.ids[id] && !sr.silent && ds.atStake(sr)
+		if checkWanted && (sr.checking || now.Before(sr.nextCheckAt)) {
+			continue // the next report counts as the first one
+		}
+		reported[id] = true
+		if checkWanted {
+			list = append(list, ds.beginCheck(sr, PeerReport))
 		}
-		list = append(list, ds.beginCheck(sr, PeerReport))
 	}
 	for id := range previous.ids {
 		if sr := ds.servers[id]; sr != nil && sr.present && sr.silent && !sr.checking && !reported[id] {
@@ -269,9 +296,9 @@
 	if sr.cfg.DataCentre == ds.dataCentre {
 		delay = silentCheckInterval
 	}
-	turn := (int(sr.tag%uint32(ds.place.LocalCount)) + ds.place.LocalRank) % ds.place.LocalCount
+	turn := (int(sr.tag%uint32(ds.position.LocalCount)) + ds.position.LocalRank) % ds.position.LocalCount
 	if turn < checkersPerServer {
 		return delay
 	}
-	return delay * time.Duration((ds.place.LocalCount+checkersPerServer-1)/checkersPerServer)
+	return delay * time.Duration((ds.position.LocalCount+checkersPerServer-1)/checkersPerServer)
 }
--- a/core/jpdispatch/check_test.go
+++ b/core/jpdispatch/check_test.go
@@ -1,6 +1,7 @@
 package jpdispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -197,3 +198,45 @@
 	}
 	hn.wantDecision(hn.Handle(at(200), nextPacket(syn, sr.Tag, 100)), Forward, Known)
 }
+
+// Guards against a data centre that counts as cut off because the same server is
+// checked again and again, or for longer than that can be known.
+func TestUnreachableDataCentre(t *testing.T) {
+	hn := newHarness(t, deskServer(1, remoteDC), deskServer(2, remoteDC), deskServer(3, remoteDC), deskServer(4, remoteDC))
+	rows := []struct {
+		ms, number int
+		reachable  bool // afterwards
+	}{
+		{500, 1, true}, {1000, 1, true}, {1500, 1, true}, {2000, 1, true}, {2500, 2, true}, {3000, 3, false}, {3500, 1, false},
+	}
+	for _, row := range rows {
+		hn.runTicks(at(row.ms-500), at(row.ms))
+		hn.HandleCheckResult(at(row.ms), at(row.ms-120), hn.servers[fmt.Sprint("i-", row.number)].endpoint(), CheckTimedOut)
+		if reachable := !hn.unreachable(hn.servers["i-4"]); reachable != row.reachable {
+			t.Errorf("after %d ms: reachable %t, want %t", row.ms, reachable, row.reachable)
+		}
+	}
+	hn.runTicks(at(3600), at(8500))
+	if hn.unreachable(hn.servers["i-4"]) {
+		t.Error("the data centre counts as cut off 5 s after the last check")
+	}
+}
+
+// Guards against a report of a peer that has no effect because the server was
+// checked just before.
+func TestReportAfterCheck(t *testing.T) {
+	hn := newHarness(t, deskServer(1, localDC))
+	sr := hn.servers["i-1"].endpoint()
+	hn.HandleCheckResult(at(0), at(-1), sr, CheckAnswered)
+	for _, row := range []struct {
+		ms, checks int
+	}{{500, 0}, {1000, 1}, {1500, 0}, {2500, 0}} {
+		list := hn.HandleSilentServers(at(row.ms), "10.0.0.9", []string{"i-1"})
+		if len(list) != row.checks {
+			t.Errorf("report after %d ms: checks %v, want %d", row.ms, list, row.checks)
+		}
+		for _, check := range list {
+			hn.HandleCheckResult(at(row.ms), at(row.ms), check.Server, CheckAnswered)
+		}
+	}
+}
--- a/core/jpdispatch/dispatcher.go
+++ b/core/jpdispatch/dispatcher.go
@@ -51,7 +51,7 @@
 // not safe for concurrent use.
 type Dispatcher struct {
 	dataCentre     string
-	place          Place
+	position       Position
 	peerReports    map[string]silentReport // by id of the peer
 	hasManifest    bool
 	currentAt      time.Time // latest time at which the directory was known to be up to date
@@ -63,8 +63,8 @@
 	serversByTag   map[uint32]*server // includes servers that left the directory
 	dataCentresOut map[string]bool    // by name of the data centre
 	flows          *jpflow.Table[FlowKey, flow]
-	timeouts       map[string]int       // checks that timed out since a server was seen alive, by data centre
-	unknownTags    map[uint32]time.Time // end of the grace period, by tag
+	cutEvidence    map[string]cutEvidence // by data centre
+	unknownTags    map[uint32]time.Time   // end of the grace period, by tag
 	lastTick       time.Time
 	nextExpiry     time.Time
 	evidenceSince  time.Time // observations of servers before this time are ignored
@@ -80,7 +80,7 @@
 func New(dataCentre string) *Dispatcher {
 	return &Dispatcher{
 		dataCentre:     dataCentre,
-		place:          Place{Count: 1, LocalCount: 1},
+		position:       Position{Count: 1, LocalCount: 1},
 		peerReports:    map[string]silentReport{},
 		routes:         map[netip.AddrPort]*jpdirectory.Route{},
 		services:       map[string]*service{},
@@ -88,7 +88,7 @@
 		serversByTag:   map[uint32]*server{},
 		dataCentresOut: map[string]bool{},
 		flows:          jpflow.New[FlowKey, flow](maxFlows),
-		timeouts:       map[string]int{},
+		cutEvidence:    map[string]cutEvidence{},
 		unknownTags:    map[uint32]time.Time{},
 	}
 }
@@ -122,18 +122,18 @@
 	ds.currentAt, ds.storeUpSince = currentAt, storeUpSince
 }
 
-// Place is the place of an instance among the live ones. It divides work between
+// Position is the position of an instance among the live ones. It divides work between
 // instances that can't always communicate: new flows to cold servers among all of
 // them, checks of silent servers among those of a data centre.
-type Place struct {
+type Position struct {
 	Rank, Count           int // among all live instances; the rank starts at 0
 	LocalRank, LocalCount int // among those of the instance's data centre
 }
 
-// SetPlace sets the place of this instance.
-func (ds *Dispatcher) SetPlace(pl Place) {
-	ds.place = pl
-	ds.place.Count, ds.place.LocalCount = max(pl.Count, 1), max(pl.LocalCount, 1)
+// SetPosition sets the position of this instance.
+func (ds *Dispatcher) SetPosition(ps Position) {
+	ds.position = ps
+	ds.position.Count, ds.position.LocalCount = max(ps.Count, 1), max(ps.LocalCount, 1)
 }
 
 func (ds *Dispatcher) applyManifest(mf *jpdirectory.Manifest) {
--- a/core/jpdispatch/dispatcher_test.go
+++ b/core/jpdispatch/dispatcher_test.go
@@ -161,7 +161,7 @@
 		var harnesses []*harness
 		for rank := range row.instances {
 			hn := newHarness(t)
-			hn.SetPlace(Place{Rank: rank, Count: row.instances})
+			hn.SetPosition(Position{Rank: rank, Count: row.instances})
 			hn.manifest(2, jpdirectory.Route{Address: route, Targets: []jpdirectory.Target{{Service: "desk", Weight: 1}}})
 			hn.services["desk"].cfg.ColdPerSecond = row.perSecond
 			next := deskServer(1, localDC)
--- a/core/jpdispatch/fleet_test.go
+++ b/core/jpdispatch/fleet_test.go
@@ -46,7 +46,7 @@
 			sr.Address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 2, byte(server >> 8), byte(server)}), 80)
 			hn.server(at(-100), sr)
 		}
-		hn.SetPlace(Place{
+		hn.SetPosition(Position{
 			Rank: no, Count: size,
 			LocalRank: no % (size / fleetDataCentres), LocalCount: size / fleetDataCentres,
 		})
--- a/core/jpdispatch/place.go
+++ b/core/jpdispatch/place.go
@@ -160,6 +160,9 @@
 			return Decision{Outcome: Forward, Reason: Placed, Server: chosen.endpoint(), Choices: choices}
 		}
 	}
+	if pk.Ack > 0 {
+		return Decision{Reason: NoServer} // an earlier copy may have reached a server
+	}
 	return Decision{Outcome: Refuse, Reason: NoServer, Reset: resetOf(pk, NoServer)}
 }
 
@@ -186,7 +189,7 @@
 		}
 	}
 	if best != nil && best.cold(now, sc) {
-		best.nextColdAt = now.Add(time.Duration(ds.place.Count) * coldInterval(sc))
+		best.nextColdAt = now.Add(time.Duration(ds.position.Count) * coldInterval(sc))
 	}
 	return best, choices
 }
@@ -208,7 +211,7 @@
 // coldAvailable reports whether a cold server may get a flow from this instance
 // now.
 func (ds *Dispatcher) coldAvailable(now time.Time, sc *service, sr *server) bool {
-	first := sr.coldSince.Add(time.Duration(ds.place.Rank) * coldInterval(sc))
+	first := sr.coldSince.Add(time.Duration(ds.position.Rank) * coldInterval(sc))
 	return sr.cold(now, sc) && !ds.suspected(now, sr) && !now.Before(first) && !now.Before(sr.nextColdAt)
 }
 
--- a/core/jpdispatch/server.go
+++ b/core/jpdispatch/server.go
@@ -37,10 +37,11 @@
 	silentCheckInterval       = 1500 * time.Millisecond
 	remoteSilentCheckInterval = 4 * silentCheckInterval
 
-	// unreachableThreshold is the number of checks of servers of another data centre
-	// that time out, with no sign of life in between, before the data centre is
-	// taken to be cut off.
+	// unreachableThreshold is the number of servers of another data centre of which
+	// checks time out, with no sign of life in between, before the data centre is
+	// taken to be cut off. cutEvidenceTTL is for how long after the last one.
 	unreachableThreshold = 3
+	cutEvidenceTTL       = 5 * time.Second
 
 	// refusalCheckInterval is the minimum time between two checks that refused
 	// flows lead to, for each service.
--- a/core/jpdispatch/sim_test.go
+++ b/core/jpdispatch/sim_test.go
@@ -120,7 +120,7 @@
 func (sm *simulation) startInstance(in *simInstance) {
 	in.Dispatcher, in.directory = New(in.centre), jpdirectory.New()
 	rank := slices.Index(sm.instances, in)
-	in.SetPlace(Place{Rank: rank, Count: 6, LocalRank: rank / 2, LocalCount: 3})
+	in.SetPosition(Position{Rank: rank, Count: 6, LocalRank: rank / 2, LocalCount: 3})
 	in.Tick(sm.now)
 }
 
--- a/io/jpentry/control.go
+++ b/io/jpentry/control.go
@@ -132,14 +132,14 @@
 // delay its first packets.
 const maxLinesPerUpdate = 16
 
-// applyView logs state changes of instances and sets this instance's place in the
+// applyView logs state changes of instances and sets this instance's position in the
 // dispatcher. The caller holds mu.
 func (en *Entry) applyView(view jpmember.View) {
 	en.logMembers(en.view.Members, view.Members)
 	en.view = view
 	alive := view.Alive()
 	local := slices.DeleteFunc(slices.Clone(alive), func(mb jpmember.Member) bool { return mb.DataCentre != en.settings.DataCentre })
-	en.dispatcher.SetPlace(jpdispatch.Place{
+	en.dispatcher.SetPosition(jpdispatch.Position{
 		Rank: en.rankAmong(alive), Count: len(alive), LocalRank: en.rankAmong(local), LocalCount: len(local),
 	})
 }
