--- a/io/jpentry/entry_test.go
+++ b/io/jpentry/entry_test.go
@@ -85,11 +85,11 @@
 	for _, row := range rows {
 		synctest.Test(t, func(t *testing.T) {
 			rs := &registryStore{errs: row.errs}
-			rg := registration{id: "127.0.0.1", dataCentre: "hobart"}
+			rg := registration{instance: jpdirectory.Instance{ID: "127.0.0.1", DataCentre: "hobart"}}
 			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 			defer cancel()
 			for ctx.Err() == nil {
-				wait := rg.maintain(ctx, rs)
+				wait := rg.maintain(ctx, rs, leaseTTL)
 				if wait < minRetryDelay {
 					t.Errorf("%s: pause of %v after the calls %q", row.name, wait, rs.calls)
 				}
--- a/io/jpentry/sync.go
+++ b/io/jpentry/sync.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"net/netip"
 	"slices"
 	"time"
 
@@ -217,15 +216,10 @@
 	leaseRenewInterval = 10 * time.Second
 )
 
-// registration is the entry of an instance in the store and the lease that it is
-// bound to.
+// registration is the entry of an instance in the store.
 type registration struct {
-	id         string // of the instance
-	dataCentre string
-	peer       netip.AddrPort
-	leaseTTL   time.Duration
-	lease      uint64 // 0 if there is none
-	written    bool   // the store has the entry, bound to the lease
+	instance jpdirectory.Instance // its lease is 0 if there is none
+	written  bool                 // the store has the entry, bound to the lease
 }
 
 // maintainRegistration keeps this instance's entry in the store until ctx ends.
@@ -238,49 +232,48 @@
 	case <-en.manifestKnown:
 	}
 	en.mu.Lock()
-	rg := registration{
-		id: en.settings.ID, dataCentre: en.settings.DataCentre, peer: en.settings.Peer,
-		leaseTTL: max(leaseTTL, en.settings.MinLeaseTTL),
-	}
+	rg := registration{instance: jpdirectory.Instance{
+		ID: en.settings.ID, DataCentre: en.settings.DataCentre, Peer: en.settings.Peer,
+	}}
+	ttl := max(leaseTTL, en.settings.MinLeaseTTL)
 	en.mu.Unlock()
-	rg.lease = en.previousLease()
-	rg.written = rg.lease != 0
+	rg.instance.Lease = en.previousLease()
+	rg.written = rg.instance.Lease != 0
 	for ctx.Err() == nil {
-		sleep(ctx, rg.maintain(ctx, en.store.Load()))
+		sleep(ctx, rg.maintain(ctx, en.store.Load(), ttl))
 	}
 }
 
 // maintain renews the lease or, if there is none, writes the entry under a new one.
 // It returns the time until the next call.
-func (rg *registration) maintain(ctx context.Context, store Store) time.Duration {
+func (rg *registration) maintain(ctx context.Context, store Store, ttl time.Duration) time.Duration {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	err := rg.renewOrWrite(ctx, store)
+	err := rg.renewOrWrite(ctx, store, ttl)
 	switch {
 	case err == nil:
 		return leaseRenewInterval
 	case errors.Is(err, ErrLeaseExpired):
-		klog.InfoS("store: registration has ended, registering again", "lease", rg.lease)
-		rg.lease, rg.written = 0, false
+		klog.InfoS("store: registration has ended, registering again", "lease", rg.instance.Lease)
+		rg.instance.Lease, rg.written = 0, false
 	default:
 		klog.V(1).InfoS("store: registration failed", "err", err)
 	}
 	return maxRetryDelay/2 + rand.N(maxRetryDelay)
 }
 
-func (rg *registration) renewOrWrite(ctx context.Context, store Store) error {
+func (rg *registration) renewOrWrite(ctx context.Context, store Store, ttl time.Duration) error {
 	if rg.written {
-		return store.RenewLease(ctx, rg.lease)
+		return store.RenewLease(ctx, rg.instance.Lease)
 	}
-	if rg.lease == 0 {
-		lease, err := store.GrantLease(ctx, rg.leaseTTL)
+	if rg.instance.Lease == 0 {
+		lease, err := store.GrantLease(ctx, ttl)
 		if err != nil {
 			return err
 		}
-		rg.lease = lease
+		rg.instance.Lease = lease
 	}
-	in := jpdirectory.Instance{ID: rg.id, DataCentre: rg.dataCentre, Peer: rg.peer}
-	if err := store.Register(ctx, in, rg.lease); err != nil {
+	if err := store.Register(ctx, rg.instance, rg.instance.Lease); err != nil {
 		return err
 	}
 	rg.written = true
--- a/lab/jpserver/admit.go
+++ b/lab/jpserver/admit.go
@@ -111,6 +111,15 @@
 	}
 }
 
+// recordRefusal records a caller whose SYN the server refuses.
+func (sv *Server) recordRefusal(caller netip.AddrPort) {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	if _, known := sv.refusals[caller]; !known {
+		sv.refusals[caller] = time.Now()
+	}
+}
+
 // countUnconfirmed counts a segment that belongs to no open connection, if it
 // carries payload and the server never accepted its flow.
 func (sv *Server) countUnconfirmed(id stack.TransportEndpointID, pkt *stack.PacketBuffer) {
@@ -136,6 +145,7 @@
 		return
 	}
 	if !sv.admitSYN(time.Now()) {
+		sv.recordRefusal(jptunnel.AddrPort(id.RemoteAddress, id.RemotePort))
 		req.Complete(true)
 		return
 	}
--- a/lab/jpserver/report.go
+++ b/lab/jpserver/report.go
@@ -59,6 +59,7 @@
 type Flow struct {
 	Caller   netip.AddrPort `json:"caller"`
 	Accepted time.Time      `json:"accepted"` // when its first SYN was accepted
+	Refused  time.Time      `json:"refused"`  // when its first SYN was refused, zero if none was
 }
 
 // Flows returns all flows that the server has accepted, sorted by caller.
@@ -67,7 +68,7 @@
 	defer sv.mu.Unlock()
 	res := make([]Flow, 0, len(sv.flows))
 	for caller, at := range sv.flows {
-		res = append(res, Flow{Caller: caller, Accepted: at})
+		res = append(res, Flow{Caller: caller, Accepted: at, Refused: sv.refusals[caller]})
 	}
 	slices.SortFunc(res, func(a, b Flow) int { return a.Caller.Compare(b.Caller) })
 	return res
--- a/lab/jpserver/server.go
+++ b/lab/jpserver/server.go
@@ -62,6 +62,7 @@
 	stats       Stats
 	executions  map[uint64]*Execution
 	flows       map[netip.AddrPort]time.Time // callers whose SYN was accepted, by the first time
+	refusals    map[netip.AddrPort]time.Time // callers whose SYN was refused, by the first time
 	loadReport  loadReport
 }
 
@@ -73,6 +74,7 @@
 		conns:      make(map[*conn]struct{}),
 		executions: make(map[uint64]*Execution),
 		flows:      make(map[netip.AddrPort]time.Time),
+		refusals:   make(map[netip.AddrPort]time.Time),
 	}
 	if !conf.StartWarm {
 		sv.coldSince = time.Now()
--- a/test/load_test.go
+++ b/test/load_test.go
@@ -158,14 +158,30 @@
 func (bd *testbed) acceptedBy(servers []*jpcluster.Server) map[string]string {
 	bd.t.Helper()
 	serverByCaller := map[string]string{}
+	for caller, fl := range bd.acceptedFlows(servers) {
+		serverByCaller[caller] = fl.server
+	}
+	return serverByCaller
+}
+
+// acceptedFlow is a flow that a server has accepted.
+type acceptedFlow struct {
+	jpserver.Flow
+	server string
+}
+
+// acceptedFlows returns the flows that the servers have accepted, by caller address.
+func (bd *testbed) acceptedFlows(servers []*jpcluster.Server) map[string]acceptedFlow {
+	bd.t.Helper()
+	flows := map[string]acceptedFlow{}
 	for _, sr := range jpcluster.RunningServers(servers) {
 		var list []jpserver.Flow
 		bd.must(jpcluster.GetJSON(bd.ctx, sr.Control+"/lab/flows", &list))
 		for _, fl := range list {
-			serverByCaller[fl.Caller.String()] = sr.Config.Name
+			flows[fl.Caller.String()] = acceptedFlow{fl, sr.Config.Name}
 		}
 	}
-	return serverByCaller
+	return flows
 }
 
 // wantConfirmed checks guarantee G7: only servers that had accepted a flow's SYN got
@@ -193,11 +209,12 @@
 		}
 	}
 	ld.bd.wantConfirmed()
-	acceptedBy := ld.bd.acceptedBy(ld.bd.Servers)
+	accepted := ld.bd.acceptedFlows(ld.bd.Servers)
 	unrepeatable := ld.service == ld.bd.deployment.orders
 	for _, end := range rs.Requests.Endings {
-		if sr := acceptedBy[end.Caller]; unrepeatable && sr != "" && end.Kind == jpcaller.Refused {
-			ld.bd.t.Errorf("%s: request %d of %s was refused although %s had accepted its SYN", ld.name, end.ID, end.Caller, sr)
+		if fl, ok := accepted[end.Caller]; ok && unrepeatable && end.Kind == jpcaller.Refused {
+			ld.bd.t.Errorf("%s: request %d of %s was refused at %v although %s had accepted its SYN at %v (and refused a copy at %v)",
+				ld.name, end.ID, end.Caller, end.At, fl.server, fl.Accepted, fl.Refused)
 		}
 		switch end.Kind {
 		case jpcaller.Refused, jpcaller.Unanswered, jpcaller.Overtime:
