jpnetwork: don't connect clients that left during a cut

Cause, found by reading: a connection that was accepted during a cut waited for its end although its client had closed it, and was then opened to the target, for example as a connection without a request at an instance. Change: while it waits, the proxy tests every 50 ms whether the client has left. TestClientLeavesDuringCut failed before.

--- a/lab/jpnetwork/network_test.go
+++ b/lab/jpnetwork/network_test.go
@@ -389,6 +389,57 @@
 	}
 }
 
+// Guards against a connection to the target for a client that left during a cut.
+func TestClientLeavesDuringCut(t *testing.T) {
+	ps := start(t)
+	lis, err := net.Listen("tcp4", "127.5.0.2:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer lis.Close()
+	accepted := make(chan struct{}, 2)
+	go func() {
+		for {
+			conn, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- struct{}{}
+			conn.Close()
+		}
+	}()
+	rule := Rule{
+		Name: "store", Protocol: "tcp", Listen: jprelay.FreePort(t, "127.5.0.2"),
+		Target: lis.Addr().(*net.TCPAddr).AddrPort(), DataCentre: "platform",
+	}
+	if _, err := ps.nw.addRule(rule); err != nil {
+		t.Fatal(err)
+	}
+	ps.nw.AddFault(Fault{ID: "cut", To: "name=store", Cut: true})
+	for _, leaves := range []bool{true, false} {
+		conn, err := net.Dial("tcp4", rule.Listen.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		if leaves {
+			conn.Close()
+		}
+	}
+	time.Sleep(3 * clientPollInterval)
+	ps.nw.RemoveFault("cut")
+	select {
+	case <-accepted:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the client that waited was not connected after the cut")
+	}
+	select {
+	case <-accepted:
+		t.Error("the client that had left was connected after the cut")
+	case <-time.After(200 * time.Millisecond):
+	}
+}
+
 // Guards against a parser that reads past the end of a packet.
 func FuzzParseInner(f *testing.F) {
 	f.Add(packet(callerIP+":1000", serviceIP+":443", 1))
--- a/lab/jpnetwork/proxy.go
+++ b/lab/jpnetwork/proxy.go
@@ -1,6 +1,7 @@
 package jpnetwork
 
 import (
+	"errors"
 	"io"
 	"net"
 	"net/netip"
@@ -8,6 +9,7 @@
 	"time"
 
 	"github.com/samber/oops"
+	"golang.org/x/sys/unix"
 	"k8s.io/klog/v2"
 )
 
@@ -138,9 +140,11 @@
 	upstream.mu.Lock()
 	upstream.counter.TCPAccepted++
 	upstream.mu.Unlock()
-	if !nw.links.waitWhileCut(upstream) || !nw.links.waitWhileCut(downstream) {
-		client.SetLinger(0)
-		return
+	for _, lk := range []*link{upstream, downstream} {
+		if !nw.links.waitWhileCut(lk, client) {
+			client.SetLinger(0)
+			return
+		}
 	}
 	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: source.AsSlice()}, Timeout: dialTimeout}
 	conn, err := dialer.Dial("tcp4", ls.rule.Target.String())
@@ -160,9 +164,20 @@
 	wg.Wait()
 }
 
+// clientPollInterval is the time between two tests whether a client that waits for
+// the end of a cut has left.
+const clientPollInterval = 50 * time.Millisecond
+
 // waitWhileCut blocks while the link is cut. It returns false if the connection
-// must be reset instead, or the network is closed.
-func (ls *links) waitWhileCut(lk *link) bool {
+// must be reset instead, its client has left, or the network is closed. client is nil
+// for a connection that has already reached its target.
+func (ls *links) waitWhileCut(lk *link, client *net.TCPConn) bool {
+	var poll <-chan time.Time
+	if client != nil {
+		ticker := time.NewTicker(clientPollInterval)
+		defer ticker.Stop()
+		poll = ticker.C
+	}
 	for {
 		lk.mu.Lock()
 		imp := ls.refresh(lk)
@@ -176,12 +191,31 @@
 		}
 		select {
 		case <-change:
+		case <-poll:
+			if hasLeft(client) {
+				return false
+			}
 		case <-ls.delayQueue.done:
 			return false
 		}
 	}
 }
 
+// hasLeft reports whether the other end of a connection has closed it. It reads
+// nothing from the connection.
+func hasLeft(conn *net.TCPConn) bool {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return true
+	}
+	left := false
+	err = raw.Control(func(fd uintptr) {
+		size, _, err := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		left = err == nil && size == 0 || err != nil && !errors.Is(err, unix.EAGAIN)
+	})
+	return left || err != nil
+}
+
 // chunk is a part of a TCP stream and the time at which to forward it.
 type chunk struct {
 	due  time.Time
@@ -202,7 +236,7 @@
 			continue
 		}
 		time.Sleep(time.Until(ck.due))
-		if !ls.waitWhileCut(lk) {
+		if !ls.waitWhileCut(lk, nil) {
 			dst.SetLinger(0)
 			src.SetLinger(0)
 			broken = true
