jpdispatch, jpentry: log and count resets of open flows with their evidence

On-call could not tell why an open flow was reset: lines of resets shared the limit of all lines about packets, a reset of an idle flow said nothing but its idle time, and packets_total mixed resets with drops of the same reason. A reset now has a limit of its own and says when the flow came, when its server was last seen alive, failed a check or left, and since when the store is up; this tells the hypotheses of docs/incidents/flow.md apart.

--- a/core/jpdispatch/check.go
+++ b/core/jpdispatch/check.go
@@ -44,9 +44,13 @@
 	CheckAnswered                        // the server's host accepts connections
 	CheckRefused                         // the host refused the connection
 	CheckTimedOut                        // only references answered
+	checkResultCount
 )
 
-var checkResultNames = []string{
+// CheckResults is the number of values of CheckResult.
+const CheckResults = int(checkResultCount)
+
+var checkResultNames = [CheckResults]string{
 	CheckInconclusive: "inconclusive", CheckAnswered: "answered", CheckRefused: "refused", CheckTimedOut: "timed_out",
 }
 
--- a/core/jpdispatch/dispatcher_test.go
+++ b/core/jpdispatch/dispatcher_test.go
@@ -392,3 +392,23 @@
 		}
 	}
 }
+
+// Guards against the reset of an open flow that does not say on which evidence, and
+// against packets that go to another server than their tag says unnoticed.
+func TestResetEvidence(t *testing.T) {
+	hn := newHarness(t, deskServer(1, localDC), deskServer(2, localDC))
+	syn, sr := hn.open(at(0))
+	other := nextPacket(syn, 3-sr.Tag, 0)
+	if dc := hn.wantDecision(hn.Handle(at(50), other), Forward, Known); dc.Server.ID != sr.ID || !dc.TagDiffers {
+		t.Errorf("packet with the tag of another server: %+v", dc)
+	}
+	hn.remove(at(60), sr.ID)
+	hn.HandleCheckResult(at(200), at(100), sr, CheckTimedOut)
+	resets := hn.runTicks(at(200), at(1200))
+	want := Evidence{
+		FlowSeenAt: at(0), ServerAliveAt: at(4), CheckFailedAt: at(200), ServerLeftAt: at(60), StoreUpSince: at(-60_000),
+	}
+	if len(resets) != 1 || resets[0].Evidence != want {
+		t.Errorf("resets %+v, want one with %+v", resets, want)
+	}
+}
--- a/core/jpdispatch/handle.go
+++ b/core/jpdispatch/handle.go
@@ -42,15 +42,18 @@
 // handleMissingRoute handles a packet other than a SYN to an address without a
 // route. It resets the flow only if the directory is up to date.
 func (ds *Dispatcher) handleMissingRoute(now time.Time, key FlowKey, fl *flow, pk Packet) Decision {
-	reason := NoRoute
+	rs := resetOf(pk, NoRoute)
 	if fl != nil {
-		reason = RouteRemoved
+		rs.Reason = RouteRemoved
+		if fl.server != nil {
+			rs.Server, rs.Evidence = fl.server.cfg.ID, ds.evidence(fl)
+		}
 		ds.removeFlow(key, fl)
 	}
 	if pk.Flags&RST != 0 || now.Sub(ds.currentAt) > maxDirectoryAge {
-		return Decision{Reason: reason}
+		return Decision{Reason: rs.Reason}
 	}
-	return Decision{Outcome: Reset, Reason: reason, Reset: resetOf(pk, reason)}
+	return Decision{Outcome: Reset, Reason: rs.Reason, Reset: rs}
 }
 
 // resetOf returns the reset that answers a packet.
@@ -163,7 +166,10 @@
 	} else {
 		fl.activate()
 	}
-	return Decision{Outcome: Forward, Reason: reason, Server: sr.endpoint(), Check: check}
+	return Decision{
+		Outcome: Forward, Reason: reason, Server: sr.endpoint(), Check: check,
+		TagDiffers: pk.Tag != 0 && pk.Tag != sr.tag,
+	}
 }
 
 // serverLost reports whether a flow's server can't continue the flow, and why.
@@ -184,10 +190,23 @@
 	fl.state = resetSent
 	rs := resetOf(pk, reason)
 	rs.Server = fl.server.cfg.ID
+	rs.Evidence = ds.evidence(fl)
 	fl.lastSeenAt = now
 	return Decision{Outcome: Reset, Reason: reason, Reset: rs}
 }
 
+// evidence returns what is known of a flow and its server.
+func (ds *Dispatcher) evidence(fl *flow) Evidence {
+	ev := Evidence{
+		FlowSeenAt: fl.firstSeenAt, ServerAliveAt: fl.server.aliveAt, CheckFailedAt: fl.server.checkFailedAt,
+		StoreUpSince: ds.storeUpSince,
+	}
+	if !fl.server.present {
+		ev.ServerLeftAt = fl.server.leftAt
+	}
+	return ev
+}
+
 // handleLate handles a packet of a flow that this instance has reset before.
 func (ds *Dispatcher) handleLate(now time.Time, fl *flow, pk Packet) Decision {
 	if pk.Flags&RST != 0 {
--- a/core/jpdispatch/packet.go
+++ b/core/jpdispatch/packet.go
@@ -91,6 +91,10 @@
 	Check   Check // of a server that may be lost, none if its Server.ID is empty
 	Load    int   // load of the server in flows, of Placed and Moved
 	Choices int   // number of candidate servers, of Placed and Moved
+
+	// TagDiffers reports that an open flow's packet is forwarded to a server other
+	// than the one that its tag names.
+	TagDiffers bool
 }
 
 // Endpoint holds the identity and address of a server that packets carry.
@@ -110,4 +114,15 @@
 	Reason   Reason
 	Server   string        // id, empty if the flow had none
 	Idle     time.Duration // time since the flow's last packet
+	Evidence Evidence
+}
+
+// Evidence holds what an instance knew of an open flow and its server when it reset
+// the flow. A time is zero if the event has not been observed.
+type Evidence struct {
+	FlowSeenAt    time.Time // first packet of the flow at this instance
+	ServerAliveAt time.Time // latest sign of life of the server
+	CheckFailedAt time.Time // latest failed check of the server
+	ServerLeftAt  time.Time // the server left the directory
+	StoreUpSince  time.Time // start of the store's current availability
 }
--- a/core/jpdispatch/tick.go
+++ b/core/jpdispatch/tick.go
@@ -70,7 +70,7 @@
 	}
 	rs := ResetPacket{
 		Caller: key.caller(), Route: key.route(), Sequence: fl.lastAck,
-		Reason: reason, Server: sr.cfg.ID, Idle: now.Sub(fl.lastSeenAt),
+		Reason: reason, Server: sr.cfg.ID, Idle: now.Sub(fl.lastSeenAt), Evidence: ds.evidence(fl),
 	}
 	fl.deactivate()
 	fl.state = resetSent
--- a/io/jpentry/changes.go
+++ b/io/jpentry/changes.go
@@ -24,13 +24,27 @@
 	klog.InfoS("peer: sent", keysAndValues...)
 }
 
-func (en *Entry) logReset(rs jpdispatch.ResetPacket) {
-	en.metrics.packetsByReason[rs.Reason].Add(1)
-	if !en.lineLimiter.allow(time.Now()) {
+// logReset logs the reset of an open flow with the evidence for it. Resets have a
+// limit of their own, so that lines about other packets don't displace them.
+func (en *Entry) logReset(now time.Time, rs jpdispatch.ResetPacket, request string, revision uint64, age time.Duration) {
+	if !en.resetLineLimiter.allow(now) {
 		return
 	}
-	klog.InfoS("dispatch: "+rs.Reason.String(), "outcome", "reset", "caller", rs.Caller, "route", rs.Route,
-		"server", rs.Server, "idle_ms", rs.Idle.Milliseconds())
+	ev := rs.Evidence
+	klog.InfoS("dispatch: "+rs.Reason.String(), "outcome", "reset", "request", request, "caller", rs.Caller, "route", rs.Route,
+		"server", rs.Server, "idle_ms", rs.Idle.Milliseconds(), "flow_seen_ms", elapsedMillis(now, ev.FlowSeenAt),
+		"alive_ms", elapsedMillis(now, ev.ServerAliveAt), "check_failed_ms", elapsedMillis(now, ev.CheckFailedAt),
+		"left_ms", elapsedMillis(now, ev.ServerLeftAt), "store_up_ms", elapsedMillis(now, ev.StoreUpSince),
+		"revision", revision, "age_ms", age.Milliseconds())
+}
+
+// elapsedMillis returns the time since an event in milliseconds, or -1 if the event
+// has not happened.
+func elapsedMillis(now, at time.Time) int64 {
+	if at.IsZero() {
+		return -1
+	}
+	return now.Sub(at).Milliseconds()
 }
 
 // maxLinesPerUpdate bounds the log lines of one full update of the directory or one
--- a/io/jpentry/check.go
+++ b/io/jpentry/check.go
@@ -36,7 +36,7 @@
 		began := time.Now()
 		result, err := probe(dial, server.Address, check.References)
 		now := time.Now()
-		en.metrics.checks.Add(1)
+		en.metrics.checksByResult[result].Add(1)
 		en.mu.Lock()
 		silence := en.dispatcher.HandleCheckResult(now, began, server, result)
 		if silence == jpdispatch.SilenceBegan {
--- a/io/jpentry/control.go
+++ b/io/jpentry/control.go
@@ -59,7 +59,7 @@
 	neighbours := en.group.Neighbours()
 	checks := en.dispatcher.DueChecks(now)
 	changes := en.dispatcher.FailingChanges(now)
-	revision := en.directory.Revision()
+	revision, age := en.directory.Revision(), now.Sub(en.directory.CurrentAt())
 	if !now.Before(en.nextStats) {
 		en.nextStats = now.Add(statsInterval)
 		en.metrics.updateGauges(en.dispatcher.Stats(), revision, en.store.Load().totalCalls())
@@ -67,7 +67,8 @@
 	en.mu.Unlock()
 
 	for _, rs := range resets {
-		en.logReset(rs)
+		en.metrics.countReset(rs.Reason)
+		en.logReset(now, rs, "", revision, age)
 		en.sendReset(rs)
 	}
 	for _, fc := range changes {
--- a/io/jpentry/entry.go
+++ b/io/jpentry/entry.go
@@ -41,17 +41,18 @@
 
 // Entry is one running entry instance.
 type Entry struct {
-	platform    Platform
-	settings    Settings
-	options     Options
-	conn        *net.UDPConn
-	peers       *jppeer.Node
-	store       atomic.Pointer[storeHandle]
-	started     time.Time
-	watchFrom   time.Time // earliest time at which it may select itself as a watcher
-	metrics     *metrics
-	timeline    *jptimeline.Timeline
-	lineLimiter *lineLimiter
+	platform         Platform
+	settings         Settings
+	options          Options
+	conn             *net.UDPConn
+	peers            *jppeer.Node
+	store            atomic.Pointer[storeHandle]
+	started          time.Time
+	watchFrom        time.Time // earliest time at which it may select itself as a watcher
+	metrics          *metrics
+	timeline         *jptimeline.Timeline
+	lineLimiter      *lineLimiter // of lines about packets other than resets
+	resetLineLimiter *lineLimiter
 
 	stopping      atomic.Bool
 	lastPacket    atomic.Int64  // receive time of the last packet from a caller, Unix ns
@@ -131,14 +132,15 @@
 	}
 	en := &Entry{
 		platform: pf, settings: settings, options: opts, conn: conn, started: now,
-		watchFrom:      now.Add(startGracePeriod + rand.N(startGraceJitter)),
-		metrics:        newMetrics(settings.ID, settings.DataCentre),
-		lineLimiter:    newLineLimiter(opts.LogLinesPerSecond),
-		dispatcher:     jpdispatch.New(settings.DataCentre),
-		directory:      jpdirectory.New(),
-		requestLimiter: jpdirectory.NewRequestLimiter(now),
-		statuses:       map[string]peerStatus{},
-		manifestKnown:  make(chan struct{}),
+		watchFrom:        now.Add(startGracePeriod + rand.N(startGraceJitter)),
+		metrics:          newMetrics(settings.ID, settings.DataCentre),
+		lineLimiter:      newLineLimiter(opts.LogLinesPerSecond),
+		resetLineLimiter: newLineLimiter(opts.LogLinesPerSecond),
+		dispatcher:       jpdispatch.New(settings.DataCentre),
+		directory:        jpdirectory.New(),
+		requestLimiter:   jpdirectory.NewRequestLimiter(now),
+		statuses:         map[string]peerStatus{},
+		manifestKnown:    make(chan struct{}),
 	}
 	en.store.Store(&storeHandle{Store: pf.OpenStore(settings.Store), address: settings.Store})
 	self := jpmember.Member{
--- a/io/jpentry/log_test.go
+++ b/io/jpentry/log_test.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"jacinthpass/core/jpdirectory"
+	"jacinthpass/core/jpdispatch"
 )
 
 // blockedWriter blocks writes until it is released, as a pipe does whose reader
@@ -75,13 +76,36 @@
 	}
 }
 
-// Guards against a starting instance that logs every server and every instance,
-// which delayed its first packets by up to 50 ms with 293 servers and 0.2 of a core.
-func TestLinesAtStart(t *testing.T) {
+// captureLog returns what is logged until the end of the test.
+func captureLog(t *testing.T) *bytes.Buffer {
 	var out bytes.Buffer
 	klog.LogToStderr(false)
 	klog.SetOutput(&out)
 	t.Cleanup(func() { klog.LogToStderr(true) })
+	return &out
+}
+
+// Guards against the reset of an open flow that leaves no line when the log is full.
+func TestResetIsLoggedWithItsEvidence(t *testing.T) {
+	out := captureLog(t)
+	en := newTestEntry(t, &registryStore{})
+	now := time.Now()
+	en.lineLimiter, en.resetLineLimiter = newLineLimiter(0), newLineLimiter(1)
+	rs := jpdispatch.ResetPacket{Reason: jpdispatch.ServerSilent, Server: "i-1", Evidence: jpdispatch.Evidence{
+		FlowSeenAt: now.Add(-3 * time.Second), CheckFailedAt: now.Add(-50 * time.Millisecond),
+	}}
+	en.logReset(now, rs, "r-1", 7, time.Second)
+	klog.Flush()
+	want := `flow_seen_ms=3000 alive_ms=-1 check_failed_ms=50 left_ms=-1 store_up_ms=-1 revision=7 age_ms=1000`
+	if !strings.Contains(out.String(), want) {
+		t.Errorf("the log has no line with %s:\n%s", want, out.String())
+	}
+}
+
+// Guards against a starting instance that logs every server and every instance,
+// which delayed its first packets by up to 50 ms with 293 servers and 0.2 of a core.
+func TestLinesAtStart(t *testing.T) {
+	out := captureLog(t)
 	en := newTestEntry(t, &registryStore{})
 	up := jpdirectory.Update{Revision: 700, Full: true, CurrentAt: time.Now(), Records: []jpdirectory.Record{{
 		Key: jpdirectory.Key{Kind: jpdirectory.ManifestRecord}, Revision: 1, Manifest: &jpdirectory.Manifest{Version: 1},
--- a/io/jpentry/metrics.go
+++ b/io/jpentry/metrics.go
@@ -25,13 +25,15 @@
 type metrics struct {
 	tags            map[string]string
 	packetsByReason [jpdispatch.Reasons]atomic.Uint64
+	resetsByReason  [jpdispatch.Reasons]atomic.Uint64 // of open flows
+	tagDiffers      atomic.Uint64
 	malformed       atomic.Uint64
 	droppedNotReady atomic.Uint64 // packets for which HoldQueue had no room
 	readErrors      atomic.Uint64
 	sendErrors      atomic.Uint64
 	storeErrors     atomic.Uint64
 	storeCalls      atomic.Uint64
-	checks          atomic.Uint64
+	checksByResult  [jpdispatch.CheckResults]atomic.Uint64
 	flows           atomic.Int64
 	servers         atomic.Int64
 	silentServers   atomic.Int64
@@ -66,7 +68,21 @@
 	return &metrics{tags: map[string]string{"instance_id": instance, "data_centre": dataCentre}}
 }
 
-func (mt *metrics) countDecision(dc jpdispatch.Decision) { mt.packetsByReason[dc.Reason].Add(1) }
+func (mt *metrics) countDecision(dc jpdispatch.Decision) {
+	mt.packetsByReason[dc.Reason].Add(1)
+	if dc.Outcome == jpdispatch.Reset {
+		mt.resetsByReason[dc.Reason].Add(1)
+	}
+	if dc.TagDiffers {
+		mt.tagDiffers.Add(1)
+	}
+}
+
+// countReset counts the reset of an idle flow.
+func (mt *metrics) countReset(reason jpdispatch.Reason) {
+	mt.packetsByReason[reason].Add(1)
+	mt.resetsByReason[reason].Add(1)
+}
 
 func (mt *metrics) updateGauges(stats jpdispatch.Stats, revision, calls uint64) {
 	mt.flows.Store(int64(stats.Flows))
@@ -91,6 +107,13 @@
 	for reason := range mt.packetsByReason {
 		name := jpdispatch.Reason(reason).String()
 		reportCounter("packets_total", map[string]string{"reason": name}, name, mt.packetsByReason[reason].Load())
+		if resets := mt.resetsByReason[reason].Load(); resets > 0 {
+			reportCounter("open_flow_resets_total", map[string]string{"reason": name}, name, resets)
+		}
+	}
+	for result := range mt.checksByResult {
+		name := jpdispatch.CheckResult(result).String()
+		reportCounter("checks_total", map[string]string{"result": name}, name, mt.checksByResult[result].Load())
 	}
 	for _, ct := range []struct {
 		name string
@@ -102,7 +125,7 @@
 		{"send_errors_total", &mt.sendErrors},
 		{"store_errors_total", &mt.storeErrors},
 		{"store_calls_total", &mt.storeCalls},
-		{"checks_total", &mt.checks},
+		{"tag_differs_packets_total", &mt.tagDiffers},
 	} {
 		reportCounter(ct.name, nil, "", ct.from.Load())
 	}
@@ -152,7 +175,7 @@
 	go func() {
 		reported := map[string]uint64{}
 		for ctx.Err() == nil {
-			dropped := droppedLines{rateLimited: en.lineLimiter.suppressed.Load()}
+			dropped := droppedLines{rateLimited: en.lineLimiter.suppressed.Load() + en.resetLineLimiter.suppressed.Load()}
 			if en.options.Log != nil {
 				dropped.queueFull = en.options.Log.Dropped()
 			}
--- a/io/jpentry/packets.go
+++ b/io/jpentry/packets.go
@@ -55,7 +55,11 @@
 	revision := en.directory.Revision()
 	en.mu.Unlock()
 	en.metrics.countDecision(dc)
-	en.logDecision(pk, dc, revision, now.Sub(current))
+	if dc.Outcome == jpdispatch.Reset {
+		en.logReset(now, dc.Reset, pk.Request, revision, now.Sub(current))
+	} else {
+		en.logDecision(pk, dc, revision, now.Sub(current))
+	}
 	switch dc.Outcome {
 	case jpdispatch.Forward:
 		en.platform.Codec.ToServer(buffer, dc.Server)
@@ -113,17 +117,18 @@
 	}
 }
 
-// logDecision logs decisions that place a flow on a server, refuse, reset or drop
-// a packet, and those on SYNs and on the first packet of each request, up to the
-// limit of lineLimiter.
+// logDecision logs decisions that place a flow on a server, refuse or drop a packet,
+// or forward it to another server than its tag says, and those on SYNs and on the
+// first packet of each request, up to the limit of lineLimiter.
 func (en *Entry) logDecision(pk jpdispatch.Packet, dc jpdispatch.Decision, revision uint64, age time.Duration) {
 	routine := dc.Outcome == jpdispatch.Forward && dc.Reason != jpdispatch.Placed && dc.Reason != jpdispatch.Moved
-	if routine && pk.Request == "" && pk.Flags&jpdispatch.SYN == 0 || !en.lineLimiter.allow(time.Now()) {
+	routine = routine && !dc.TagDiffers && pk.Request == "" && pk.Flags&jpdispatch.SYN == 0
+	if routine || !en.lineLimiter.allow(time.Now()) {
 		return
 	}
 	klog.InfoS("dispatch: "+dc.Reason.String(),
 		"outcome", outcomeName(dc.Outcome), "request", pk.Request,
-		"caller", pk.Caller, "route", pk.Route, "server", dc.Server.ID+dc.Reset.Server,
+		"caller", pk.Caller, "route", pk.Route, "server", dc.Server.ID, "tag_differs", dc.TagDiffers,
 		"load", dc.Load, "choices", dc.Choices, "copies", synCopies(pk),
 		"revision", revision, "age_ms", age.Milliseconds())
 }
