jpdispatch, jpentry: confirm the timeouts of a check by a later connection

Cause: checks wait behind the instance's own traffic on its link. Change: the references of each attempt are dialed 20 ms after the server and have to answer within 20 ms. Packets leave the link in order, so the server's answer can't be behind that of a later connection. What counts is decided in core (Attempts). Test: TestCongestedLinkDoesNotMakeServerSilent plays backlogs of 0 to 400 ms.

--- a/core/jpdispatch/check.go
+++ b/core/jpdispatch/check.go
@@ -26,9 +26,8 @@
 // String returns the name of the cause in logs, in snake case.
 func (cc CheckCause) String() string { return checkCauseNames[cc] }
 
-// Check asks for a connection attempt to a server. If the attempt times out, it
-// counts only if a reference answers in the same time: otherwise this instance's
-// own link may have failed or be congested.
+// Check asks for connection attempts to a server, see Attempts. References show
+// whether this instance's own link works.
 type Check struct {
 	Server     Endpoint
 	Cause      CheckCause
@@ -40,10 +39,10 @@
 
 // Results of checks.
 const (
-	CheckInconclusive CheckResult = iota // neither the server nor a reference answered in time
+	CheckInconclusive CheckResult = iota // no answer, but too few confirmed timeouts
 	CheckAnswered                        // the server's host accepts connections
 	CheckRefused                         // the host refused the connection
-	CheckTimedOut                        // only references answered
+	CheckTimedOut                        // attempts timed out, and references answered
 	checkResultCount
 )
 
--- a/io/jpentry/check.go
+++ b/io/jpentry/check.go
@@ -1,9 +1,11 @@
 package jpentry
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -12,21 +14,9 @@
 	"jacinthpass/core/jpdispatch"
 )
 
-const (
-	// checkTimeout bounds one connection attempt. It is far above the round
-	// trip of 2 ms between data centres.
-	checkTimeout = 60 * time.Millisecond
-
-	// checkTimerTolerance is how late a timer may fire while this process is
-	// scheduled. An attempt that ends later says nothing about the server.
-	checkTimerTolerance = 10 * time.Millisecond
-
-	// failureThreshold is the number of timeouts after which a check fails; one
-	// is not enough because the network loses single packets. maxAttempts
-	// bounds all attempts, including the inconclusive ones.
-	failureThreshold = 2
-	maxAttempts      = 6
-)
+// timerTolerance is how late a timer may fire while this process is scheduled. An
+// attempt that ends later says nothing about the server.
+const timerTolerance = 10 * time.Millisecond
 
 // checkServer checks in the background whether a server's host still accepts
 // connections. It sends no request, which would occupy a slot of the server.
@@ -55,43 +45,47 @@
 	}()
 }
 
-// probe opens a connection to an address and closes it. The result is CheckTimedOut
-// if failureThreshold attempts timed out
-// while this process was scheduled and, from the second one on, a reference
-// answered in the same time.
-func probe(dial dialFunc, address netip.AddrPort, references []jpdispatch.Endpoint) (result jpdispatch.CheckResult, err error) {
-	failed := 0
-	for attempt := range maxAttempts {
-		var answers <-chan bool
-		if attempt > 0 {
-			answers = dialReferences(dial, references)
-		}
-		began := time.Now()
-		if err = dial(address); err == nil {
-			return jpdispatch.CheckAnswered, nil
-		}
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			return jpdispatch.CheckRefused, err
-		}
-		// Errors other than timeouts are local to this machine.
-		var ne net.Error
-		timedOut := errors.As(err, &ne) && ne.Timeout() && time.Since(began) <= checkTimeout+checkTimerTolerance
-		if timedOut && (answers == nil || <-answers) {
-			failed++
-		}
-		if failed == failureThreshold {
-			return jpdispatch.CheckTimedOut, err
+// probe opens connections to an address until the result of the check is final.
+func probe(dial dialFunc, address netip.AddrPort, references []jpdispatch.Endpoint) (jpdispatch.CheckResult, error) {
+	var attempts jpdispatch.Attempts
+	for {
+		outcome, err := attempt(dial, address, references)
+		if result, final := attempts.Add(outcome); final {
+			return result, err
 		}
 	}
-	return jpdispatch.CheckInconclusive, err
+}
+
+// attempt opens one connection to an address and closes it. Without references, any
+// timeout counts as confirmed.
+func attempt(dial dialFunc, address netip.AddrPort, references []jpdispatch.Endpoint) (jpdispatch.AttemptOutcome, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), jpdispatch.AttemptTimeout)
+	defer cancel()
+	began := time.Now()
+	referenceAnswered := dialReferences(ctx, dial, references)
+	err := dial(ctx, address)
+	if err == nil {
+		return jpdispatch.AttemptAnswered, nil
+	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return jpdispatch.AttemptRefused, err
+	}
+	// Errors other than timeouts are local to this machine.
+	var ne net.Error
+	timedOut := errors.As(err, &ne) && ne.Timeout() && time.Since(began) <= jpdispatch.AttemptTimeout+timerTolerance
+	if timedOut && (len(references) == 0 || referenceAnswered.Load()) {
+		return jpdispatch.AttemptTimedOut, err
+	}
+	return jpdispatch.AttemptInconclusive, err
 }
 
 // dialFunc opens a connection to an address and closes it.
-type dialFunc func(netip.AddrPort) error
+type dialFunc func(context.Context, netip.AddrPort) error
 
 // dial opens a connection to an address and closes it without sending anything.
-func dial(address netip.AddrPort) error {
-	conn, err := net.DialTimeout("tcp", address.String(), checkTimeout)
+func dial(ctx context.Context, address netip.AddrPort) error {
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", address.String())
 	if err != nil {
 		return err
 	}
@@ -99,27 +93,24 @@
 	return nil
 }
 
-// dialReferences dials all references at the same time and then sends whether the
-// host of one of them has responded within checkTimeout. It returns nil if there
-// are none.
-func dialReferences(dial dialFunc, references []jpdispatch.Endpoint) <-chan bool {
-	if len(references) == 0 {
-		return nil
-	}
-	responses := make(chan bool, len(references))
-	for _, rf := range references {
-		go func() {
-			err := dial(rf.Address)
-			responses <- err == nil || errors.Is(err, syscall.ECONNREFUSED)
-		}()
-	}
-	answered := make(chan bool, 1)
-	go func() {
-		any := false
-		for range references {
-			any = <-responses || any
+// dialReferences dials the references after ReferenceDelay, unless ctx has ended
+// by then. The value becomes true when the host of one of them responds within
+// ReferenceTimeout.
+func dialReferences(ctx context.Context, dial dialFunc, references []jpdispatch.Endpoint) *atomic.Bool {
+	answered := new(atomic.Bool)
+	deadline := time.Now().Add(jpdispatch.ReferenceDelay + jpdispatch.ReferenceTimeout)
+	timer := time.AfterFunc(jpdispatch.ReferenceDelay, func() {
+		for _, rf := range references {
+			go func() {
+				ctx, cancel := context.WithDeadline(ctx, deadline)
+				defer cancel()
+				err := dial(ctx, rf.Address)
+				if (err == nil || errors.Is(err, syscall.ECONNREFUSED)) && time.Now().Before(deadline) {
+					answered.Store(true)
+				}
+			}()
 		}
-		answered <- any
-	}()
+	})
+	context.AfterFunc(ctx, func() { timer.Stop() })
 	return answered
 }
