jpdispatch: a timed-out check is void if its server answered a caller meanwhile

Test: the row 'check failed, but the server answered a packet meanwhile' of TestResets failed before (reset 30 ms after the sign of life).

--- a/core/jpdispatch/check.go
+++ b/core/jpdispatch/check.go
@@ -125,7 +125,8 @@
 )
 
 // HandleCheckResult handles the result of a check that began at a time. A failure
-// is inconclusive if this instance was paused during the check.
+// is inconclusive if this instance was paused during the check, and a timeout also if
+// the server has answered a caller since.
 func (ds *Dispatcher) HandleCheckResult(now, began time.Time, server Endpoint, result CheckResult) Silence {
 	sr := ds.serversByTag[server.Tag]
 	if sr == nil || sr.cfg.ID != server.ID || sr.cfg.Address != server.Address {
@@ -137,7 +138,7 @@
 	case result == CheckAnswered:
 		ds.noteAlive(now, sr)
 		sr.nextCheckAt = now.Add(checkInterval)
-	case result == CheckInconclusive || !began.After(ds.evidenceSince):
+	case result == CheckInconclusive || !began.After(ds.evidenceSince) || result == CheckTimedOut && sr.aliveAt.After(began):
 		sr.nextCheckAt = now.Add(inconclusiveCheckDelay)
 		sr.synAt = time.Time{}
 	default:
--- a/core/jpdispatch/check_test.go
+++ b/core/jpdispatch/check_test.go
@@ -56,6 +56,12 @@
 			hn.NotePause(at(80))
 			hn.HandleCheckResult(at(100), at(50), sr, CheckTimedOut)
 		}, false},
+		{"check failed, but the server answered a packet meanwhile", func(hn *harness, syn Packet, sr Endpoint) {
+			pk := nextPacket(syn, sr.Tag, 0)
+			pk.Ack += 500
+			hn.Handle(at(70), pk)
+			hn.HandleCheckResult(at(100), at(50), sr, CheckTimedOut)
+		}, false},
 		{"check inconclusive", func(hn *harness, _ Packet, sr Endpoint) {
 			hn.HandleCheckResult(at(100), at(50), sr, CheckInconclusive)
 		}, false},
