jpdispatch: reset a flow without a route only if a later directory has none

A packet of an open flow on a route that is not known here was reset at once if the directory was up to date within the last 4 s, but the route may be newer: the flow was placed by an instance that had the next manifest already. Change: the packet is dropped until a directory of 1 s after the first such packet has no such route either. A flow that came here while the route was known is reset at once as before: its route was removed. Test: TestFlowOfNewRouteIsNotReset failed before (reset).

--- a/core/jpdispatch/dispatcher_test.go
+++ b/core/jpdispatch/dispatcher_test.go
@@ -412,3 +412,31 @@
 		t.Errorf("resets %+v, want one with %+v", resets, want)
 	}
 }
+
+// Guards against the reset of an open flow by an instance that does not know the
+// flow's route yet.
+func TestFlowOfNewRouteIsNotReset(t *testing.T) {
+	added := netip.MustParseAddrPort("198.18.0.2:443")
+	rows := []struct {
+		name    string
+		events  func(hn *harness)
+		outcome Outcome
+		reason  Reason
+	}{
+		{"the directory is older than the packet", func(*harness) {}, Drop, NoRoute},
+		{"the route arrives", func(hn *harness) {
+			hn.manifest(2, jpdirectory.Route{Address: added, Targets: []jpdirectory.Target{{Service: "desk", Weight: 1}}})
+		}, Forward, Tagged},
+		{"the directory of a later time has no such route", func(hn *harness) { hn.setFresh(at(1999)) }, Reset, NoRoute},
+	}
+	for _, row := range rows {
+		hn := newHarness(t, deskServer(1, localDC))
+		pk := nextPacket(hn.newSYN(), 1, 100)
+		pk.Route = added
+		hn.wantDecision(hn.Handle(at(900), pk), Drop, NoRoute)
+		row.events(hn)
+		if dc := hn.Handle(at(2000), pk); dc.Outcome != row.outcome || dc.Reason != row.reason {
+			t.Errorf("%s: outcome %d for %v, want %d for %v", row.name, dc.Outcome, dc.Reason, row.outcome, row.reason)
+		}
+	}
+}
--- a/core/jpdispatch/handle.go
+++ b/core/jpdispatch/handle.go
@@ -1,6 +1,7 @@
 package jpdispatch
 
 import (
+	"net/netip"
 	"time"
 )
 
@@ -40,22 +41,50 @@
 }
 
 // handleMissingRoute handles a packet other than a SYN to an address without a
-// route. It resets the flow only if the directory is up to date.
+// route. It resets the flow only if the directory is up to date and the route was
+// removed: the flow came here before that, or a later directory has none either.
 func (ds *Dispatcher) handleMissingRoute(now time.Time, key FlowKey, fl *flow, pk Packet) Decision {
 	rs := resetOf(pk, NoRoute)
+	removed := false
 	if fl != nil {
-		rs.Reason = RouteRemoved
+		rs.Reason, removed = RouteRemoved, true
 		if fl.server != nil {
 			rs.Server, rs.Evidence = fl.server.cfg.ID, ds.evidence(fl)
 		}
 		ds.removeFlow(key, fl)
+	} else {
+		removed = ds.routeAbsent(now, pk.Route)
 	}
-	if pk.Flags&RST != 0 || now.Sub(ds.currentAt) > maxDirectoryAge {
+	if pk.Flags&RST != 0 || !removed || now.Sub(ds.currentAt) > maxDirectoryAge {
 		return Decision{Reason: rs.Reason}
 	}
 	return Decision{Outcome: Reset, Reason: rs.Reason, Reset: rs}
 }
 
+// routeAbsent reports whether the directory was still without a route
+// routeArrivalTime after the first packet to it, and remembers that packet.
+func (ds *Dispatcher) routeAbsent(now time.Time, route netip.AddrPort) bool {
+	firstAt, ok := ds.unknownRoutes[route]
+	if !ok {
+		if len(ds.unknownRoutes) < maxUnknownRoutes {
+			ds.unknownRoutes[route] = now
+		}
+		return false
+	}
+	return !ds.currentAt.Before(firstAt.Add(routeArrivalTime))
+}
+
+const (
+	// routeArrivalTime is for how long a directory that counts as up to date may
+	// lack a change: a response of the store may have been on its way for as long as
+	// a call may take.
+	routeArrivalTime = time.Second
+
+	// maxUnknownRoutes bounds the unknown routes that are remembered, because
+	// callers may send to any address.
+	maxUnknownRoutes = 4096
+)
+
 // resetOf returns the reset that answers a packet.
 func resetOf(pk Packet, reason Reason) ResetPacket {
 	return ResetPacket{Caller: pk.Caller, Route: pk.Route, Sequence: pk.Ack, Reason: reason}
--- a/core/jpdispatch/tick.go
+++ b/core/jpdispatch/tick.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"net/netip"
 	"time"
 )
 
@@ -97,7 +98,7 @@
 }
 
 // expire removes servers that left the directory tagRetention ago, unknown tags and
-// old reports of peers.
+// routes, and old reports of peers.
 func (ds *Dispatcher) expire(now time.Time) {
 	for id, sr := range ds.servers {
 		if !sr.present && now.Sub(sr.leftAt) >= tagRetention {
@@ -110,6 +111,7 @@
 		}
 	}
 	maps.DeleteFunc(ds.peerReports, func(_ string, rp silentReport) bool { return !now.Before(rp.expires) })
+	maps.DeleteFunc(ds.unknownRoutes, func(_ netip.AddrPort, firstAt time.Time) bool { return now.Sub(firstAt) >= tagRetention })
 	for tag, graceEnd := range ds.unknownTags {
 		if now.Sub(graceEnd) >= tagRetention {
 			delete(ds.unknownTags, tag)
