jpdispatch: count the time that a route may be missing for each flow

Change: it is counted for each flow (FlowKey). Test: the row 'the earlier packet was of another flow' of TestFlowOfNewRouteIsNotReset failed before.

--- a/core/jpdispatch/dispatcher.go
+++ b/core/jpdispatch/dispatcher.go
@@ -63,9 +63,9 @@
 	serversByTag   map[uint32]*server // includes servers that left the directory
 	dataCentresOut map[string]bool    // by name of the data centre
 	flows          *jpflow.Table[FlowKey, flow]
-	cutEvidence    map[string]cutEvidence       // by data centre
-	unknownTags    map[uint32]time.Time         // end of the grace period, by tag
-	unknownRoutes  map[netip.AddrPort]time.Time // first packet of an open flow, by address
+	cutEvidence    map[string]cutEvidence // by data centre
+	unknownTags    map[uint32]time.Time   // end of the grace period, by tag
+	routelessFlows map[FlowKey]time.Time  // first packet of an open flow whose route is not known
 	lastTick       time.Time
 	nextExpiry     time.Time
 	evidenceSince  time.Time // observations of servers before this time are ignored
@@ -91,7 +91,7 @@
 		flows:          jpflow.New[FlowKey, flow](maxFlows),
 		cutEvidence:    map[string]cutEvidence{},
 		unknownTags:    map[uint32]time.Time{},
-		unknownRoutes:  map[netip.AddrPort]time.Time{},
+		routelessFlows: map[FlowKey]time.Time{},
 	}
 }
 
@@ -147,7 +147,6 @@
 	clear(ds.routes)
 	for ix := range mf.Routes {
 		ds.routes[mf.Routes[ix].Address] = &mf.Routes[ix]
-		delete(ds.unknownRoutes, mf.Routes[ix].Address)
 	}
 	services := map[string]*service{}
 	for _, sc := range mf.Services {
--- a/core/jpdispatch/dispatcher_test.go
+++ b/core/jpdispatch/dispatcher_test.go
@@ -428,6 +428,17 @@
 			hn.manifest(2, jpdirectory.Route{Address: added, Targets: []jpdirectory.Target{{Service: "desk", Weight: 1}}})
 		}, Forward, Tagged},
 		{"the directory of a later time has no such route", func(hn *harness) { hn.setFresh(at(1999)) }, Reset, NoRoute},
+		{"the directory of a later time has it no more", func(hn *harness) {
+			hn.manifest(2, jpdirectory.Route{Address: added, Targets: []jpdirectory.Target{{Service: "desk", Weight: 1}}})
+			hn.manifest(3)
+			hn.setFresh(at(1999))
+		}, Reset, NoRoute},
+		{"the earlier packet was of another flow", func(hn *harness) {
+			other := nextPacket(hn.newSYN(), 1, 100)
+			other.Route = added
+			hn.setFresh(at(1999))
+			hn.wantDecision(hn.Handle(at(2000), other), Drop, NoRoute)
+		}, Reset, NoRoute},
 	}
 	for _, row := range rows {
 		hn := newHarness(t, deskServer(1, localDC))
--- a/core/jpdispatch/handle.go
+++ b/core/jpdispatch/handle.go
@@ -1,7 +1,6 @@
 package jpdispatch
 
 import (
-	"net/netip"
 	"time"
 )
 
@@ -53,7 +52,7 @@
 		}
 		ds.removeFlow(key, fl)
 	} else {
-		removed = ds.routeAbsent(now, pk.Route)
+		removed = ds.routeAbsent(now, key)
 	}
 	if pk.Flags&RST != 0 || !removed || now.Sub(ds.currentAt) > maxDirectoryAge {
 		return Decision{Reason: rs.Reason}
@@ -61,13 +60,13 @@
 	return Decision{Outcome: Reset, Reason: rs.Reason, Reset: rs}
 }
 
-// routeAbsent reports whether the directory was still without a route
-// routeArrivalTime after the first packet to it, and remembers that packet.
-func (ds *Dispatcher) routeAbsent(now time.Time, route netip.AddrPort) bool {
-	firstAt, ok := ds.unknownRoutes[route]
+// routeAbsent reports whether the directory was still without the route of a flow
+// routeArrivalTime after its first packet, and remembers that packet.
+func (ds *Dispatcher) routeAbsent(now time.Time, key FlowKey) bool {
+	firstAt, ok := ds.routelessFlows[key]
 	if !ok {
-		if len(ds.unknownRoutes) < maxUnknownRoutes {
-			ds.unknownRoutes[route] = now
+		if len(ds.routelessFlows) < maxRoutelessFlows {
+			ds.routelessFlows[key] = now
 		}
 		return false
 	}
@@ -80,9 +79,13 @@
 	// a call may take.
 	routeArrivalTime = time.Second
 
-	// maxUnknownRoutes bounds the unknown routes that are remembered, because
-	// callers may send to any address.
-	maxUnknownRoutes = 4096
+	// maxRoutelessFlows bounds the flows without a route that are remembered,
+	// because callers may send to any address. Their packets beyond it are dropped.
+	maxRoutelessFlows = 4096
+
+	// routelessRetention is how long such a flow is remembered: longer than the
+	// longest interval between two retransmissions and routeArrivalTime.
+	routelessRetention = 5 * time.Second
 )
 
 // resetOf returns the reset that answers a packet.
--- a/core/jpdispatch/tick.go
+++ b/core/jpdispatch/tick.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"net/netip"
 	"time"
 )
 
@@ -97,8 +96,8 @@
 	return idle < limit
 }
 
-// expire removes servers that left the directory tagRetention ago, unknown tags and
-// routes, and old reports of peers.
+// expire removes servers that left the directory tagRetention ago, unknown tags,
+// flows without a route and old reports of peers.
 func (ds *Dispatcher) expire(now time.Time) {
 	for id, sr := range ds.servers {
 		if !sr.present && now.Sub(sr.leftAt) >= tagRetention {
@@ -111,7 +110,7 @@
 		}
 	}
 	maps.DeleteFunc(ds.peerReports, func(_ string, rp silentReport) bool { return !now.Before(rp.expires) })
-	maps.DeleteFunc(ds.unknownRoutes, func(_ netip.AddrPort, firstAt time.Time) bool { return now.Sub(firstAt) >= tagRetention })
+	maps.DeleteFunc(ds.routelessFlows, func(_ FlowKey, firstAt time.Time) bool { return now.Sub(firstAt) >= routelessRetention })
 	for tag, graceEnd := range ds.unknownTags {
 		if now.Sub(graceEnd) >= tagRetention {
 			delete(ds.unknownTags, tag)
