jpdispatch: judge an absence by the time of the directory

An entry that was back by then was not seen, and open flows of a living server were reset. Change: what counts is how long the server had been away when the directory was last the store's latest. Tests: TestAbsenceOlderThanDirectory and TestUnknownTagOlderThanDirectory failed before.

--- a/core/jpdispatch/dispatcher.go
+++ b/core/jpdispatch/dispatcher.go
@@ -64,7 +64,7 @@
 	dataCentresOut map[string]bool    // by name of the data centre
 	flows          *jpflow.Table[FlowKey, flow]
 	cutEvidence    map[string]cutEvidence // by data centre
-	unknownTags    map[uint32]time.Time   // end of the grace period, by tag
+	unknownTags    map[uint32]time.Time   // first packet with the tag, by tag
 	routelessFlows map[FlowKey]time.Time  // first packet of an open flow whose route is not known
 	lastTick       time.Time
 	nextExpiry     time.Time
--- a/core/jpdispatch/handle.go
+++ b/core/jpdispatch/handle.go
@@ -149,15 +149,15 @@
 // dropped during the tag's grace period and while the directory may lack servers,
 // and its flow is reset otherwise.
 func (ds *Dispatcher) handleUnknownTag(now time.Time, pk Packet) Decision {
-	graceEnd, ok := ds.unknownTags[pk.Tag]
+	firstAt, ok := ds.unknownTags[pk.Tag]
 	if !ok {
 		if len(ds.unknownTags) >= maxUnknownTags {
 			return Decision{Reason: UnknownTag}
 		}
-		graceEnd = now.Add(unknownTagGrace)
-		ds.unknownTags[pk.Tag] = graceEnd
+		firstAt = now
+		ds.unknownTags[pk.Tag] = firstAt
 	}
-	if now.Before(graceEnd) || !ds.absenceReliable(now) {
+	if !ds.absentSince(now, firstAt) {
 		return Decision{Reason: UnknownTag}
 	}
 	return Decision{Outcome: Reset, Reason: UnknownTag, Reset: resetOf(pk, UnknownTag)}
@@ -167,11 +167,16 @@
 // packets can carry any tag.
 const maxUnknownTags = 4096
 
-// absenceReliable reports whether a server that is missing from the directory can
-// be taken for gone: the directory is up to date, and the store has been available
-// for long enough that servers with expired entries have registered again.
-func (ds *Dispatcher) absenceReliable(now time.Time) bool {
-	return now.Sub(ds.currentAt) <= maxDirectoryAge && now.Sub(ds.storeUpSince) >= unknownTagGrace
+// absentSince reports whether a server that has been missing from the directory since
+// a time can be taken for gone: the directory is up to date and did not contain the
+// server unknownTagGrace later either, and the store had been available for that long,
+// so that servers with expired entries have registered again.
+func (ds *Dispatcher) absentSince(now, since time.Time) bool {
+	shownAt := since.Add(unknownTagGrace)
+	if registered := ds.storeUpSince.Add(unknownTagGrace); registered.After(shownAt) {
+		shownAt = registered
+	}
+	return now.Sub(ds.currentAt) <= maxDirectoryAge && !ds.currentAt.Before(shownAt)
 }
 
 // forward decides on a packet of an open flow: it goes to the flow's server, or
@@ -253,7 +258,7 @@
 	if sr.replaced || sr.silentFor(now, firstSeenAt) || now.Sub(sr.leftAt) >= tagRetention {
 		return true
 	}
-	return ds.absenceReliable(now) && now.Sub(sr.leftAt) >= unknownTagGrace
+	return ds.absentSince(now, sr.leftAt)
 }
 
 // observe updates the state of the server from a packet of the caller: an
--- /dev/null
+++ b/core/jpdispatch/openflow_test.go
@@ -0,0 +1,31 @@
+package jpdispatch
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against an open flow that is reset because its server's entry expired 4 s
+// ago, although the directory is too old to show that it has not come back.
+func TestAbsenceOlderThanDirectory(t *testing.T) {
+	for _, age := range []time.Duration{time.Second, 2 * time.Second, 4 * time.Second} {
+		hn := newHarness(t, deskServer(1, localDC))
+		syn, sr := hn.open(at(0))
+		hn.setFresh(at(1000))
+		hn.remove(at(1000), sr.ID)
+		hn.SetFreshness(at(5000).Add(-age), at(-60_000))
+		if dc := hn.Handle(at(5000), nextPacket(syn, sr.Tag, 100)); dc.Outcome != Forward {
+			t.Errorf("directory %v old: outcome %d for %v, want the packet forwarded", age, dc.Outcome, dc.Reason)
+		}
+	}
+}
+
+// Guards against the same at an instance that has not known the server.
+func TestUnknownTagOlderThanDirectory(t *testing.T) {
+	hn := newHarness(t, deskServer(1, localDC))
+	hn.setFresh(at(1000))
+	pk := nextPacket(hn.newSYN(), 2, 100)
+	hn.wantDecision(hn.Handle(at(1000), pk), Drop, UnknownTag)
+	hn.SetFreshness(at(1500), at(-60_000))
+	hn.wantDecision(hn.Handle(at(5100), pk), Drop, UnknownTag)
+}
--- a/core/jpdispatch/tick.go
+++ b/core/jpdispatch/tick.go
@@ -111,9 +111,5 @@
 	}
 	maps.DeleteFunc(ds.peerReports, func(_ string, rp silentReport) bool { return !now.Before(rp.expires) })
 	maps.DeleteFunc(ds.routelessFlows, func(_ FlowKey, firstAt time.Time) bool { return now.Sub(firstAt) >= routelessRetention })
-	for tag, graceEnd := range ds.unknownTags {
-		if now.Sub(graceEnd) >= tagRetention {
-			delete(ds.unknownTags, tag)
-		}
-	}
+	maps.DeleteFunc(ds.unknownTags, func(_ uint32, firstAt time.Time) bool { return now.Sub(firstAt) >= tagRetention })
 }
