jpentry: don't take the store for available on a word from before its outage

They passed the value from before an outage to each other for ever, and an instance that had not asked for a minute took up its old one again. So lapsed entries of living servers counted as reliable absences right after an outage. Change: the word of a peer counts only with a directory that the store has confirmed within 3.5 s; an instance that has not heard from the store for that long starts anew. Tests: TestStoreUptimeIsNotRelayed (1m10s after an outage of 10 s) and TestStoreUptimeAfterBreak failed before.

--- a/io/jpentry/control.go
+++ b/io/jpentry/control.go
@@ -197,14 +197,16 @@
 
 // storeUpSince returns the time since which the store has answered without
 // interruption: to this instance, or else to the peer with the earliest such
-// time. The caller holds mu.
+// time. Peers pass on what they have heard, so theirs counts only with a directory
+// that the store has confirmed lately. The caller holds mu.
 func (en *Entry) storeUpSince(now time.Time) time.Time {
-	if !en.storeHealth.upSince.IsZero() && now.Sub(en.storeHealth.lastResponse) < watchWait+statusMaxAge {
+	if !en.storeHealth.upSince.IsZero() && now.Sub(en.storeHealth.lastResponse) < staleAfter {
 		return en.storeHealth.upSince
 	}
 	earliest := now
 	for _, ps := range en.statuses {
-		if now.Sub(ps.receivedAt) < statusMaxAge && ps.storeUpSince.Before(earliest) {
+		confirmed := now.Sub(ps.receivedAt) < statusMaxAge && now.Sub(ps.currentAt) < staleAfter
+		if confirmed && ps.storeUpSince.Before(earliest) {
 			earliest = ps.storeUpSince
 		}
 	}
--- /dev/null
+++ b/io/jpentry/freshness_test.go
@@ -0,0 +1,47 @@
+package jpentry
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"jacinthpass/core/jpdirectory"
+)
+
+// Guards against an outage of the store that goes unnoticed, because instances relay
+// to one another for how long the store had answered before it.
+func TestStoreUptimeIsNotRelayed(t *testing.T) {
+	began := time.Now()
+	first, second := newTestEntry(t, &registryStore{}), newTestEntry(t, &registryStore{})
+	first.storeHealth = storeHealth{upSince: began.Add(-time.Minute), lastResponse: began}
+	exchange := func(now time.Time) {
+		for _, way := range []struct{ from, to *Entry }{{first, second}, {second, first}} {
+			if status, due := way.from.statusDue(now); due {
+				way.to.handleStatus(now, "10.0.0.1", status)
+			}
+		}
+	}
+	exchange(began)
+	first.handleStoreError(errors.New("refused"))
+	for now := began.Add(statusInterval); !now.After(began.Add(10 * time.Second)); now = now.Add(statusInterval) {
+		exchange(now)
+	}
+	for _, en := range []*Entry{first, second} {
+		now := began.Add(10 * time.Second)
+		if uptime := now.Sub(en.storeUpSince(now)); uptime > 2*statusMaxAge {
+			t.Errorf("the store counts as available for %v after an outage of 10 s", uptime)
+		}
+	}
+}
+
+// Guards against an outage of the store that goes unnoticed, because this instance did
+// not call the store in the meantime.
+func TestStoreUptimeAfterBreak(t *testing.T) {
+	en := newTestEntry(t, &registryStore{})
+	now := time.Now()
+	en.storeHealth = storeHealth{upSince: now.Add(-time.Hour), lastResponse: now.Add(-time.Minute)}
+	en.handleStoreUpdate(jpdirectory.Update{Revision: 7, CurrentAt: now})
+	if uptime := time.Since(en.storeUpSince(time.Now())); uptime > time.Minute {
+		t.Errorf("the store counts as available for %v, last answer before that was a minute ago", uptime)
+	}
+}
--- a/io/jpentry/sync.go
+++ b/io/jpentry/sync.go
@@ -184,10 +184,12 @@
 	en.mu.Lock()
 	defer en.mu.Unlock()
 	if en.storeHealth.upSince.IsZero() {
-		en.storeHealth.upSince = now
 		klog.InfoS("store: reachable", "revision", up.Revision, "full", up.Full)
 		en.timeline.Add("store", "store_reachable", "", "")
 	}
+	if en.storeHealth.upSince.IsZero() || now.Sub(en.storeHealth.lastResponse) >= staleAfter {
+		en.storeHealth.upSince = now // nothing is known of the time since lastResponse
+	}
 	en.storeHealth.lastResponse = now
 	en.applyUpdate(now, up, "store")
 }
