jpdispatch: an entry of an unknown service takes no server's address

Found by the review: an entry with the address of a living server ended that server's open flows at once, also if its service does not exist. Such an entry may come from any writer to the store, and names no server. Change: only servers of the manifest's services take addresses, when both are known; manifests are applied before entries. Of several servers with one address the last that came has it, as before. Tests: the row 'address is named by an entry of a service that does not exist' of TestResets failed before; TestLastEntryHasTheAddress guards the new order.

--- a/core/jpdispatch/check_test.go
+++ b/core/jpdispatch/check_test.go
@@ -84,6 +84,24 @@
 			next.Address = sr.Address
 			hn.server(at(10), next)
 		}, true},
+		{"address is named by an entry of a service that does not exist", func(hn *harness, _ Packet, sr Endpoint) {
+			next := deskServer(7, localDC)
+			next.Address, next.Service = sr.Address, "nobody"
+			hn.server(at(10), next)
+		}, false},
+		{"address is named by an entry of a service that is added later", func(hn *harness, _ Packet, sr Endpoint) {
+			next := deskServer(7, localDC)
+			next.Address, next.Service = sr.Address, "archive"
+			hn.server(at(10), next)
+			hn.apply(at(20), jpdirectory.Record{
+				Key: jpdirectory.Key{Kind: jpdirectory.ManifestRecord},
+				Manifest: &jpdirectory.Manifest{
+					Version: 2, IdleTimeout: 15 * time.Second,
+					Routes:   []jpdirectory.Route{{Address: route, Targets: []jpdirectory.Target{{Service: "desk", Weight: 1}}}},
+					Services: []jpdirectory.Service{{Name: "desk", MaxFlows: 2000}, {Name: "archive", MaxFlows: 2000}},
+				},
+			})
+		}, true},
 		{"restarted with its id, last listed more than 2 s after the flow began", func(hn *harness, _ Packet, sr Endpoint) {
 			hn.setFresh(at(2001))
 			next := deskServer(1, localDC)
--- a/core/jpdispatch/dispatcher.go
+++ b/core/jpdispatch/dispatcher.go
@@ -60,6 +60,7 @@
 	routes         map[netip.AddrPort]*jpdirectory.Route
 	services       map[string]*service
 	servers        map[string]*server // by id
+	arrivals       uint64             // servers that have come so far
 	serversByTag   map[uint32]*server // includes servers that left the directory
 	dataCentresOut map[string]bool    // by name of the data centre
 	flows          *jpflow.Table[FlowKey, flow]
@@ -102,11 +103,15 @@
 		return
 	}
 	reassign := false
+	// The entry of a server counts only if the manifest has its service.
 	for _, rc := range records {
-		switch rc.Key.Kind {
-		case jpdirectory.ManifestRecord:
-			ds.applyManifest(rc.Manifest)
+		if rc.Key.Kind == jpdirectory.ManifestRecord {
+			ds.applyManifest(now, rc.Manifest)
 			reassign = true
+		}
+	}
+	for _, rc := range records {
+		switch rc.Key.Kind {
 		case jpdirectory.ServerRecord:
 			reassign = ds.applyServer(now, rc.Key.Name, rc.Server) || reassign
 		case jpdirectory.DataCentreOutRecord:
@@ -138,7 +143,7 @@
 	ds.position.Count, ds.position.LocalCount = max(ps.Count, 1), max(ps.LocalCount, 1)
 }
 
-func (ds *Dispatcher) applyManifest(mf *jpdirectory.Manifest) {
+func (ds *Dispatcher) applyManifest(now time.Time, mf *jpdirectory.Manifest) {
 	if mf == nil {
 		return
 	}
@@ -152,7 +157,21 @@
 	for _, sc := range mf.Services {
 		services[sc.Name] = &service{cfg: sc}
 	}
+	known := ds.services
 	ds.services = services
+	var added []*server
+	for _, sr := range ds.servers {
+		if known[sr.cfg.Service] == nil && services[sr.cfg.Service] != nil {
+			added = append(added, sr)
+		}
+	}
+	// Of several servers with one address, the one that came last has it.
+	slices.SortFunc(added, func(a, b *server) int { return cmp.Compare(b.arrival, a.arrival) })
+	for _, sr := range added {
+		if sr.present {
+			ds.takeAddress(now, sr)
+		}
+	}
 }
 
 // applyDataCentreOut sets whether a data centre is out of service. When it
@@ -191,6 +210,8 @@
 		return reassign
 	}
 	sr := newServer(*cfg)
+	ds.arrivals++
+	sr.arrival = ds.arrivals
 	sr.turnCold(now)
 	ds.replace(now, previous, sr)
 	ds.servers[id] = sr
@@ -211,8 +232,17 @@
 			previous.setSuccessor(next)
 		}
 	}
+	ds.takeAddress(now, next)
+}
+
+// takeAddress marks other servers with the address of a server as replaced, unless its
+// service does not exist: then its entry names no server.
+func (ds *Dispatcher) takeAddress(now time.Time, next *server) {
+	if ds.services[next.cfg.Service] == nil {
+		return
+	}
 	for _, sr := range ds.servers {
-		if sr.cfg.Address == next.cfg.Address {
+		if sr != next && sr.cfg.Address == next.cfg.Address {
 			sr.markLeft(now, ds.currentAt)
 			sr.replaced = true
 		}
--- a/core/jpdispatch/dispatcher_test.go
+++ b/core/jpdispatch/dispatcher_test.go
@@ -451,3 +451,22 @@
 		}
 	}
 }
+
+// Guards against an address that goes to the server which had it earlier when the
+// entries of both are known before the manifest.
+func TestLastEntryHasTheAddress(t *testing.T) {
+	for range 20 { // the order of maps varies
+		ds := New(localDC)
+		ds.Tick(at(-1000))
+		hn := &harness{Dispatcher: ds, tb: t, nextPort: 1024}
+		next := deskServer(2, localDC)
+		next.Address = deskServer(1, localDC).Address
+		hn.server(at(0), deskServer(1, localDC))
+		hn.server(at(0), next)
+		hn.manifest(1, jpdirectory.Route{Address: route, Targets: []jpdirectory.Target{{Service: "desk", Weight: 1}}})
+		hn.setFresh(at(0))
+		if dc := hn.wantDecision(hn.Handle(at(0), hn.newSYN()), Forward, Placed); dc.Server.ID != "i-2" || dc.Choices != 1 {
+			t.Errorf("a new flow went to %q of %d servers, want i-2 of 1", dc.Server.ID, dc.Choices)
+		}
+	}
+}
--- a/core/jpdispatch/server.go
+++ b/core/jpdispatch/server.go
@@ -78,6 +78,7 @@
 type server struct {
 	cfg              jpdirectory.Server
 	tag              uint32
+	arrival          uint64 // position in the order in which servers have come
 	present          bool
 	local            bool      // in this instance's data centre; set for the servers of services
 	replaced         bool      // another server process has its id or its address
