jpdispatch: keep flows of a restarted server that registers late

When the store's responses are lost, a write may take effect up to 6 s late; flows opened at the new process before were then reset. Change: flows that came up to 8 s before the old entry was last seen go on to the restarted server, which resets those that it does not hold. Older ones are reset at once as before. Tests: TestLateRegistration failed before.

--- a/core/jpdispatch/openflow_test.go
+++ b/core/jpdispatch/openflow_test.go
@@ -29,3 +29,15 @@
 	hn.SetFreshness(at(1500), at(-60_000))
 	hn.wantDecision(hn.Handle(at(5100), pk), Drop, UnknownTag)
 }
+
+// Guards against an open flow that is reset because its server restarted with its id
+// before the flow began and could not register for some seconds.
+func TestLateRegistration(t *testing.T) {
+	hn := newHarness(t, deskServer(1, localDC))
+	syn, sr := hn.open(at(1000))
+	hn.setFresh(at(5900))
+	next := deskServer(1, localDC)
+	next.Started = at(0)
+	hn.server(at(6000), next)
+	hn.wantDecision(hn.Handle(at(6100), nextPacket(syn, sr.Tag, 100)), Forward, Known)
+}
--- a/core/jpdispatch/server.go
+++ b/core/jpdispatch/server.go
@@ -64,10 +64,11 @@
 	// this instance must have been paused: two ticks.
 	overdueCheckDelay = 200 * time.Millisecond
 
-	// registrationDelay is how long a server that has started takes to write its
+	// registrationDelay is how long a server that has started may take to write its
 	// entry to the store: two of its heartbeats, which are less than a second
-	// apart.
-	registrationDelay = 2 * time.Second
+	// apart, and the time that a write may take to have its effect when the store's
+	// responses are lost.
+	registrationDelay = 8 * time.Second
 
 	// peerLoadTTL is how long a load that a peer reported counts: three of the
 	// peer's report intervals.
