jpdispatch: drop a copy of a SYN that can't be placed instead of refusing it

Found by the review: an instance that can't place a SYN refused it at once, also a later copy whose earlier one another instance may have placed. If the handshake ended meanwhile, the reset hit an open flow. Change: a copy (its number is above 0) without an entry here is dropped. Test: TestCopyOfSYNIsNotRefused failed before.

--- a/core/jpdispatch/openflow_test.go
+++ b/core/jpdispatch/openflow_test.go
@@ -1,6 +1,7 @@
 package jpdispatch
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 )
@@ -41,3 +42,28 @@
 	hn.server(at(6000), next)
 	hn.wantDecision(hn.Handle(at(6100), nextPacket(syn, sr.Tag, 100)), Forward, Known)
 }
+
+// Guards against an open flow that is reset because a later copy of its SYN came to an
+// instance that can't place it.
+func TestCopyOfSYNIsNotRefused(t *testing.T) {
+	rows := []struct {
+		name    string
+		route   netip.AddrPort
+		copies  uint32 // sent earlier
+		outcome Outcome
+		reason  Reason
+	}{
+		{"no route", netip.MustParseAddrPort("198.18.9.9:80"), 0, Refuse, NoRoute},
+		{"no route, second copy", netip.MustParseAddrPort("198.18.9.9:80"), 1, Drop, NoRoute},
+		{"no server", route, 0, Refuse, NoServer},
+		{"no server, third copy", route, 2, Drop, NoServer},
+	}
+	for _, row := range rows {
+		hn := newHarness(t)
+		syn := hn.newSYN()
+		syn.Route, syn.Ack = row.route, row.copies
+		if dc := hn.Handle(at(0), syn); dc.Outcome != row.outcome || dc.Reason != row.reason {
+			t.Errorf("%s: outcome %d for %v, want %d for %v", row.name, dc.Outcome, dc.Reason, row.outcome, row.reason)
+		}
+	}
+}
--- a/core/jpdispatch/place.go
+++ b/core/jpdispatch/place.go
@@ -65,9 +65,10 @@
 }
 
 // refuseNoRoute refuses a flow to an address without a route. While the directory
-// may lack a new route, the packet is dropped instead.
+// may lack a new route, or if another instance may have placed the flow, the packet is
+// dropped instead.
 func (ds *Dispatcher) refuseNoRoute(now time.Time, pk Packet) Decision {
-	if now.Sub(ds.currentAt) > maxDirectoryAge {
+	if now.Sub(ds.currentAt) > maxDirectoryAge || pk.Ack > 0 {
 		return Decision{Reason: NoRoute}
 	}
 	return Decision{Outcome: Refuse, Reason: NoRoute, Reset: resetOf(pk, NoRoute)}
@@ -75,8 +76,9 @@
 
 // noServer refuses a flow that no server can take. If an earlier SYN of the flow
 // was sent to a server, the retransmission goes to the same one, because the flow
-// may still open there. If unreachable servers are the reason, the decision contains a
-// check of one of them, so that flows are accepted again soon after they recover.
+// may still open there; it is dropped if another instance may have got the earlier one.
+// If unreachable servers are the reason, the decision contains a check of one of them,
+// so that flows are accepted again soon after they recover.
 func (ds *Dispatcher) noServer(now time.Time, rt *jpdirectory.Route, pk Packet, fl *flow, check Check) Decision {
 	if fl != nil {
 		return Decision{Outcome: Forward, Reason: Known, Server: fl.server.endpoint(), Check: check}
@@ -87,6 +89,9 @@
 		dc.Reason, dc.Reset.Reason = Unreachable, Unreachable
 		dc.Check = ds.checkAfterRefusal(now, servers)
 	}
+	if pk.Ack > 0 {
+		return Decision{Reason: dc.Reason, Check: dc.Check}
+	}
 	return dc
 }
 
