jpdispatch: let departed servers be references if no others are known

Found by the review: when the entries of all servers lapse together, as after an outage of the store, the checks that this leads to had no reference, so a congested link counted again, just when full updates fill it. Change: a server that left the directory and was not replaced is a reference in place of a present one. Test: TestChecksOfExpiredEntriesHaveReferences failed before.

--- a/core/jpdispatch/check.go
+++ b/core/jpdispatch/check.go
@@ -64,18 +64,18 @@
 
 // references returns the servers that show whether this instance's link works:
 // the one in its data centre and the one in another data centre that were last
-// seen alive.
+// seen alive. Servers that left the directory are used only in place of others.
 func (ds *Dispatcher) references(suspect *server) []Endpoint {
 	var local, remote *server
 	for _, sr := range ds.servers {
-		if sr == suspect || sr.silent || !sr.present || sr.cfg.Address == suspect.cfg.Address {
+		if sr == suspect || sr.silent || sr.replaced || sr.cfg.Address == suspect.cfg.Address {
 			continue
 		}
 		best := &remote
 		if sr.cfg.DataCentre == ds.dataCentre {
 			best = &local
 		}
-		if *best == nil || sr.aliveAt.After((*best).aliveAt) {
+		if *best == nil || sr.present && !(*best).present || sr.present == (*best).present && sr.aliveAt.After((*best).aliveAt) {
 			*best = sr
 		}
 	}
--- a/core/jpdispatch/check_test.go
+++ b/core/jpdispatch/check_test.go
@@ -264,3 +264,22 @@
 		}
 	}
 }
+
+// Guards against checks without a reference when the entries of all servers expire
+// together, as after an outage of the store: a congested link would then count.
+func TestChecksOfExpiredEntriesHaveReferences(t *testing.T) {
+	hn := newHarness(t, deskServer(1, localDC), deskServer(2, localDC))
+	hn.open(at(0))
+	hn.open(at(0))
+	hn.remove(at(100), "i-1")
+	hn.remove(at(100), "i-2")
+	checks := hn.DueChecks(at(200))
+	if len(checks) != 2 {
+		t.Fatalf("checks %+v, want two", checks)
+	}
+	for _, ck := range checks {
+		if len(ck.References) != 1 || ck.References[0].ID == ck.Server.ID {
+			t.Errorf("check of %s has the references %+v, want the other server", ck.Server.ID, ck.References)
+		}
+	}
+}
