jpdispatch: repeat an inconclusive check while there are flows of the server

Found by the review of the confirmed timeouts: on a link with a standing queue, the check of a dead server is inconclusive, and the next one waited for a caller's retransmission, up to 1.6 s later. Change: it is due again after 0.5 s while this instance has flows of the server. Test: TestInconclusiveCheckIsRepeated failed before.

--- a/core/jpdispatch/check.go
+++ b/core/jpdispatch/check.go
@@ -15,12 +15,14 @@
 	EntryRemoved                       // the server left the directory and still has flows
 	PeerReport                         // a peer has found it silent, or alive again
 	FlowRefused                        // a flow was refused because all servers are silent
+	CheckRepeated                      // the check before was inconclusive
 )
 
 var checkCauseNames = []string{
 	HandshakeOverdue: "handshake_overdue", SYNRepeated: "syn_repeated", DataRepeated: "data_repeated",
 	SilentServerUsed: "silent_server_used", SilentCheckDue: "silent_check_due", EntryRemoved: "entry_removed",
 	PeerReport: "peer_report", FlowRefused: "flow_refused",
+	CheckRepeated: "check_repeated",
 }
 
 // String returns the name of the cause in logs, in snake case.
@@ -132,7 +134,7 @@
 	if sr == nil || sr.cfg.ID != server.ID || sr.cfg.Address != server.Address {
 		return SilenceUnchanged
 	}
-	sr.checking = false
+	sr.checking, sr.inconclusive = false, false
 	wasSilent := sr.silent
 	switch {
 	case result == CheckAnswered:
@@ -141,6 +143,7 @@
 	case result == CheckInconclusive || !began.After(ds.evidenceSince) || result == CheckTimedOut && sr.aliveAt.After(began):
 		sr.nextCheckAt = now.Add(inconclusiveCheckDelay)
 		sr.synAt = time.Time{}
+		sr.inconclusive = true
 	default:
 		if result == CheckTimedOut {
 			ds.noteTimeout(now, sr)
@@ -161,7 +164,8 @@
 //   - servers that left the directory and still have flows, because these flows
 //     are reset if the check fails and go on if it succeeds;
 //   - servers that didn't answer a SYN;
-//   - silent servers, which may have recovered.
+//   - silent servers, which may have recovered;
+//   - servers with flows whose latest check was inconclusive.
 func (ds *Dispatcher) DueChecks(now time.Time) []Check {
 	var list []Check
 	for _, sr := range ds.servers {
@@ -175,6 +179,8 @@
 			list = append(list, ds.beginCheck(sr, SilentCheckDue))
 		case sr.present && sr.handshakeOverdue(now):
 			list = append(list, ds.beginCheck(sr, HandshakeOverdue))
+		case sr.present && sr.inconclusive && sr.trackedFlows > 0:
+			list = append(list, ds.beginCheck(sr, CheckRepeated))
 		}
 	}
 	return list
--- a/core/jpdispatch/check_test.go
+++ b/core/jpdispatch/check_test.go
@@ -283,3 +283,21 @@
 		}
 	}
 }
+
+// Guards against a dead server that is not found because the first check of it was
+// inconclusive.
+func TestInconclusiveCheckIsRepeated(t *testing.T) {
+	hn := newHarness(t, deskServer(1, localDC), deskServer(2, localDC))
+	_, sr := hn.open(at(0))
+	hn.HandleCheckResult(at(400), at(50), sr, CheckInconclusive)
+	if checks := hn.DueChecks(at(800)); len(checks) != 0 {
+		t.Errorf("checks %+v after 0.4 s, want none", checks)
+	}
+	if checks := hn.DueChecks(at(900)); len(checks) != 1 || checks[0].Server.ID != sr.ID {
+		t.Errorf("checks %+v after 0.5 s, want one of %s", checks, sr.ID)
+	}
+	hn.HandleCheckResult(at(1000), at(900), sr, CheckAnswered)
+	if checks := hn.DueChecks(at(5000)); len(checks) != 0 {
+		t.Errorf("checks %+v after it was answered, want none", checks)
+	}
+}
--- a/core/jpdispatch/server.go
+++ b/core/jpdispatch/server.go
@@ -103,6 +103,7 @@
 	checkFailedAt   time.Time   // latest failed check
 	silent          bool        // a check failed and it was not seen alive since: flows are reset, new ones go to other servers
 	checking        bool        // a check is running
+	inconclusive    bool        // the latest check was inconclusive and the server was not seen alive since
 	nextCheckAt     time.Time
 	coldSince       time.Time // when it was last treated as newly cold
 	nextColdAt      time.Time // earliest next flow from this instance while it is cold
@@ -159,6 +160,7 @@
 	sr.aliveAt = now
 	sr.synAt = time.Time{}
 	sr.silent = false
+	sr.inconclusive = false
 	sr.avoidUntil = time.Time{}
 }
 
