--- a/core/jpdispatch/openflow_test.go
+++ b/core/jpdispatch/openflow_test.go
@@ -67,3 +67,41 @@
 		}
 	}
 }
+
+// Guards against packets of a flow that are sent to the server of an earlier flow
+// from the same port, or answered with a reset, because the SYN took another way.
+func TestPortReusedElsewhere(t *testing.T) {
+	rows := []struct {
+		name string
+		end  func(hn *harness, earlier Packet)
+	}{
+		{"earlier flow idle", func(*harness, Packet) {}},
+		{"earlier flow closed", func(hn *harness, earlier Packet) {
+			earlier.Flags |= FIN
+			hn.Handle(at(100), earlier)
+		}},
+		{"earlier flow reset", func(hn *harness, earlier Packet) {
+			hn.HandleCheckResult(at(100), at(90), Endpoint{ID: "i-1", Tag: 1, Address: deskServer(1, localDC).Address}, CheckRefused)
+			hn.wantDecision(hn.Handle(at(110), earlier), Reset, ServerSilent)
+		}},
+		{"earlier flow not open yet", nil},
+	}
+	for _, row := range rows {
+		hn := newHarness(t, deskServer(1, localDC))
+		syn := hn.newSYN()
+		dc := hn.wantDecision(hn.Handle(at(0), syn), Forward, Placed)
+		hn.server(at(10), deskServer(2, localDC))
+		if row.end != nil {
+			earlier := nextPacket(syn, dc.Server.Tag, 0)
+			hn.wantDecision(hn.Handle(at(20), earlier), Forward, Known)
+			row.end(hn, earlier)
+		}
+		// The next flow is open at the other server, through another instance.
+		pk := nextPacket(syn, 2, 100)
+		pk.Sequence, pk.Ack = syn.Sequence+0x4000_0001, 0x7000_0000
+		dc = hn.Handle(at(1500), pk)
+		if dc.Outcome != Forward || dc.Server.ID != "i-2" {
+			t.Errorf("%s: outcome %d for %v to %q, want it forwarded to i-2", row.name, dc.Outcome, dc.Reason, dc.Server.ID)
+		}
+	}
+}
--- /dev/null
+++ b/core/jpdispatch/simpeer_test.go
@@ -0,0 +1,163 @@
+package jpdispatch
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"jacinthpass/core/jpdirectory"
+)
+
+// Times of io/jpentry and io/jppeer.
+const (
+	simStatusInterval = 500 * time.Millisecond
+	simStatusMaxAge   = 3 * simStatusInterval
+	simWatchWait      = 2 * time.Second
+	simWatchPause     = 800 * time.Millisecond
+	simStaleAfter     = simWatchWait + simStatusMaxAge
+	simConnectionLoss = 3 * time.Second // a connection that carries nothing ends by then
+)
+
+// simPeerState is what an instance knows of its peers and of the store's availability.
+type simPeerState struct {
+	limiter        *jpdirectory.RequestLimiter
+	statuses       map[*simInstance]simStatus
+	watching       bool
+	watchBegan     time.Time
+	nextWatch      time.Time
+	upSince        time.Time // zero while the store does not answer
+	lastResponse   time.Time
+	nextStatus     time.Time
+	statusRevision uint64
+}
+
+type simStatus struct {
+	revision                            uint64
+	currentAt, storeUpSince, receivedAt time.Time
+}
+
+func newSimPeerState(now time.Time) simPeerState {
+	return simPeerState{
+		limiter: jpdirectory.NewRequestLimiter(now), statuses: map[*simInstance]simStatus{}, nextWatch: now.Add(simWatchPause),
+	}
+}
+
+// syncPeers does what io/jpentry does to keep a directory up to date: one instance of
+// each data centre watches the store, the others ask their peers.
+func (sm *simulation) syncPeers(in *simInstance) {
+	ps := &in.peers
+	maps.DeleteFunc(ps.statuses, func(_ *simInstance, st simStatus) bool { return sm.now.Sub(st.receivedAt) >= simStatusMaxAge })
+	in.SetFreshness(in.directory.CurrentAt(), sm.storeUpSinceAt(in))
+	if !sm.now.Before(ps.nextStatus) || in.directory.Revision() != ps.statusRevision {
+		ps.nextStatus, ps.statusRevision = sm.now.Add(simStatusInterval), in.directory.Revision()
+		sm.sendStatus(in)
+	}
+	if !ps.watching && !sm.now.Before(ps.nextWatch) && sm.watches(in) {
+		ps.watching, ps.watchBegan = true, sm.now
+	}
+	if ps.watching {
+		sm.watchStore(in)
+	}
+}
+
+func (sm *simulation) storeUpSinceAt(in *simInstance) time.Time {
+	ps := &in.peers
+	if !ps.upSince.IsZero() && sm.now.Sub(ps.lastResponse) < simStaleAfter {
+		return ps.upSince
+	}
+	earliest := sm.now
+	for _, st := range ps.statuses {
+		if sm.now.Sub(st.currentAt) < simStaleAfter && st.storeUpSince.Before(earliest) {
+			earliest = st.storeUpSince
+		}
+	}
+	return earliest
+}
+
+// watches reports whether an instance has to watch the store.
+func (sm *simulation) watches(in *simInstance) bool {
+	first := slices.IndexFunc(sm.instances, func(other *simInstance) bool { return other.centre == in.centre && sm.isUp(other) })
+	return sm.instances[first] == in || sm.now.Sub(in.directory.CurrentAt()) > simStaleAfter
+}
+
+// watchStore ends an instance's watch if the store answers, or fails.
+func (sm *simulation) watchStore(in *simInstance) {
+	ps := &in.peers
+	if !sm.storeUp() || sm.now.Before(in.storeCutUntil) {
+		ps.watching, ps.upSince, ps.nextWatch = false, time.Time{}, sm.now.Add(sm.randomTime(50, 1000))
+		ps.limiter.StoreReadFailed()
+		return
+	}
+	if in.directory.Revision() == sm.revision && sm.now.Sub(ps.watchBegan) < simWatchWait {
+		return
+	}
+	up := sm.store.Since(in.directory.Revision())
+	up.CurrentAt = sm.now
+	if ps.upSince.IsZero() || sm.now.Sub(ps.lastResponse) >= simStaleAfter {
+		ps.upSince = sm.now
+	}
+	ps.watching, ps.nextWatch, ps.lastResponse = false, sm.now, sm.now
+	if len(up.Records) > 0 {
+		ps.nextWatch = sm.now.Add(simWatchPause)
+	}
+	sm.applyUpdate(in, up)
+}
+
+func (sm *simulation) applyUpdate(in *simInstance, up jpdirectory.Update) {
+	sm.note("instance %d gets revision %d", slices.Index(sm.instances, in), up.Revision)
+	in.Apply(sm.now, in.directory.Apply(sm.now, up))
+	in.SetFreshness(in.directory.CurrentAt(), sm.storeUpSinceAt(in))
+}
+
+// sendStatus sends an instance's status to the others.
+func (sm *simulation) sendStatus(in *simInstance) {
+	revision := in.directory.Revision()
+	age, uptime := sm.now.Sub(in.directory.CurrentAt()), sm.now.Sub(sm.storeUpSinceAt(in))
+	for _, to := range sm.instances {
+		if to != in {
+			sm.deliver(in, to, func() { sm.handleStatus(in, to, revision, age, uptime) })
+		}
+	}
+}
+
+func (sm *simulation) handleStatus(from, in *simInstance, revision uint64, age, uptime time.Duration) {
+	in.peers.statuses[from] = simStatus{revision, sm.now.Add(-age), sm.now.Add(-uptime), sm.now}
+	in.directory.Confirm(revision, sm.now.Add(-age))
+	known := in.directory.Revision()
+	if !in.peers.limiter.Allow(sm.now, known, revision, in.centre == from.centre) {
+		return
+	}
+	sm.deliver(in, from, func() {
+		up := from.directory.Since(known)
+		age := sm.now.Sub(up.CurrentAt)
+		sm.deliver(from, in, func() {
+			if !up.Full && known > in.directory.Revision() {
+				return
+			}
+			up.CurrentAt = sm.now.Add(-age)
+			sm.applyUpdate(in, up)
+		})
+	})
+}
+
+// deliver delivers a message between two instances. While a cut separates them or the
+// receiver is paused, it waits in the connection, which ends after a while.
+func (sm *simulation) deliver(from, to *simInstance, receive func()) {
+	sender, receiver, sentAt := from.Dispatcher, to.Dispatcher, sm.now
+	var attempt func()
+	attempt = func() {
+		if from.Dispatcher != sender || to.Dispatcher != receiver || sm.now.Sub(sentAt) > simConnectionLoss {
+			return
+		}
+		if !sm.reaches(from, to.centre) || !sm.isUp(to) {
+			sm.schedule(sm.randomTime(50, 300), attempt)
+			return
+		}
+		receive()
+	}
+	if sm.playRng.IntN(20) == 0 {
+		sm.schedule(sm.randomTime(1, 150), attempt)
+		return
+	}
+	attempt()
+}
