--- a/core/jpdispatch/check.go
+++ b/core/jpdispatch/check.go
@@ -128,7 +128,7 @@
 
 // HandleCheckResult handles the result of a check that began at a time. A failure
 // is inconclusive if this instance was paused during the check, and a timeout also if
-// the server has answered a caller since.
+// a caller has acknowledged new data of the server since.
 func (ds *Dispatcher) HandleCheckResult(now, began time.Time, server Endpoint, result CheckResult) Silence {
 	sr := ds.serversByTag[server.Tag]
 	if sr == nil || sr.cfg.ID != server.ID || sr.cfg.Address != server.Address {
