--- a/review/jpreview/stalesyn.go
+++ b/review/jpreview/stalesyn.go
@@ -12,7 +12,7 @@
 const (
 	freezeTime  = 3500 * time.Millisecond // of the site's node_freeze
 	openingTime = 2500 * time.Millisecond // from the start of the freeze
-	openPause   = 8 * time.Millisecond   // between two new flows
+	openPause   = 8 * time.Millisecond    // between two new flows
 )
 
 // runStaleSYN checks that flows that opened while an instance was frozen go on after it
