--- a/review/jpreview/deployment.go
+++ b/review/jpreview/deployment.go
@@ -168,7 +168,7 @@
 	bk := &backend{
 		id: fmt.Sprintf("i-%08x", number), number: uint64(number), service: service, zone: zone, address: address,
 		born: time.Now().UnixMilli(), workTime: 25 * time.Millisecond, callerPort: dp.port, record: dp.record,
-		flows: map[flowID]*backendFlow{}, executions: map[string]int{},
+		flows: map[flowID]*backendFlow{}, executions: map[string]int{}, ignored: map[flowID]int{},
 	}
 	dp.backends = append(dp.backends, bk)
 	return bk, bk.start()
--- a/review/jpreview/server.go
+++ b/review/jpreview/server.go
@@ -23,6 +23,10 @@
 	born     int64 // Unix ms
 	workTime time.Duration
 
+	// ignoreHalfOpen makes the server ignore packets of a flow of which it has only a
+	// SYN, if they don't acknowledge its SYN+ACK. Otherwise it answers them with a reset.
+	ignoreHalfOpen bool
+
 	callerPort uint16
 	record     *recorder
 	conn       *net.UDPConn
@@ -32,6 +36,7 @@
 	flows      map[flowID]*backendFlow
 	opened     int            // flows opened so far
 	executions map[string]int // by request
+	ignored    map[flowID]int // packets that were ignored because of ignoreHalfOpen
 }
 
 // flowID identifies a flow by its two ends.
@@ -123,6 +128,9 @@
 		}
 	case pk.Flags&flagRST != 0:
 		delete(bk.flows, id)
+	case fl != nil && !fl.open && pk.Ack != fl.seq+1 && bk.ignoreHalfOpen:
+		bk.ignored[id]++
+		bk.record.add("server %s ignores a packet of %s to %s, whose flow it does not hold", bk.id, pk.From, pk.To)
 	case fl == nil || !fl.open && pk.Ack != fl.seq+1:
 		bk.record.add("server %s resets %s to %s, whose flow it does not hold", bk.id, pk.From, pk.To)
 		bk.send(id, packet{Echo: pk.Echo, Seq: pk.Ack, Flags: flagRST})
@@ -184,6 +192,13 @@
 	return bk.executions[request]
 }
 
+// ignoredPackets returns how many packets of a flow the server has ignored.
+func (bk *backend) ignoredPackets(id flowID) int {
+	bk.mu.Lock()
+	defer bk.mu.Unlock()
+	return bk.ignored[id]
+}
+
 const requestIDHeader = "X-Jacinthpass-Request-Id: "
 
 // requestID returns the id of a request, or "".
