--- a/review/jpreview/largewatch.go
+++ b/review/jpreview/largewatch.go
@@ -42,11 +42,13 @@
 	}
 	if cr.trouble {
 		cr.record.add("%d changes, one each %v", stormChanges, stormPause)
+		began := time.Now()
 		for ix := range stormChanges {
+			time.Sleep(time.Until(began.Add(time.Duration(ix) * stormPause)))
 			cr.routes[0]["timeoutMs"] = 1000 + ix
 			cr.putManifest()
-			time.Sleep(stormPause)
 		}
+		cr.record.add("the changes took %v", time.Since(began).Round(time.Millisecond))
 	}
 	dropped := orderRoute
 	cr.routes = append(cr.routes[:1], cr.routes[2:]...)
