jpdirectory: the store's uptime comes from the observation confirmed last

Callers could see open flows of living servers reset ("server_gone") after two outages of the store, or one in which an entry stayed overwritten.

Cause: an instance that doesn't watch the store took the longest uptime of its peers. A peer whose directory was up to 3.5 s old still reported the uptime from before an outage, so entries that had lapsed in it counted as gone for good.

Change: an uptime is a span that ends when its directory was last confirmed. The latest span counts, joined with those that overlap it. The simulation and jpentry share the decision in jpdirectory.StoreUpSince. No message changes.

--- a/core/jpdispatch/simpeer_test.go
+++ b/core/jpdispatch/simpeer_test.go
@@ -62,16 +62,18 @@
 
 func (sm *simulation) storeUpSinceAt(in *simInstance) time.Time {
 	ps := &in.peers
-	if !ps.upSince.IsZero() && sm.now.Sub(ps.lastResponse) < simStaleAfter {
-		return ps.upSince
+	currentAt := in.directory.CurrentAt()
+	if sm.now.Sub(currentAt) >= simStaleAfter {
+		return sm.now
+	}
+	var observations []jpdirectory.Availability
+	if !ps.upSince.IsZero() {
+		observations = append(observations, jpdirectory.Availability{UpSince: ps.upSince, ConfirmedAt: ps.lastResponse})
 	}
-	earliest := sm.now
 	for _, st := range ps.statuses {
-		if sm.now.Sub(st.currentAt) < simStaleAfter && st.storeUpSince.Before(earliest) {
-			earliest = st.storeUpSince
-		}
+		observations = append(observations, jpdirectory.Availability{UpSince: st.storeUpSince, ConfirmedAt: st.currentAt})
 	}
-	return earliest
+	return jpdirectory.StoreUpSince(currentAt, observations)
 }
 
 // watches reports whether an instance has to watch the store.
--- a/io/jpentry/control.go
+++ b/io/jpentry/control.go
@@ -195,22 +195,24 @@
 	}, true
 }
 
-// storeUpSince returns the time since which the store has answered without
-// interruption: to this instance, or else to the peer with the earliest such
-// time. Peers pass on what they have heard, so theirs counts only with a directory
-// that the store has confirmed lately. The caller holds mu.
+// storeUpSince returns the time since which the store has answered without interruption,
+// by what this instance and its peers have observed, or now if that is not known. Peers
+// pass on what they have heard. The caller holds mu.
 func (en *Entry) storeUpSince(now time.Time) time.Time {
-	if !en.storeHealth.upSince.IsZero() && now.Sub(en.storeHealth.lastResponse) < staleAfter {
-		return en.storeHealth.upSince
+	currentAt := en.directory.CurrentAt()
+	if now.Sub(currentAt) >= staleAfter {
+		return now
+	}
+	var observations []jpdirectory.Availability
+	if sh := en.storeHealth; !sh.upSince.IsZero() {
+		observations = append(observations, jpdirectory.Availability{UpSince: sh.upSince, ConfirmedAt: sh.lastResponse})
 	}
-	earliest := now
 	for _, ps := range en.statuses {
-		confirmed := now.Sub(ps.receivedAt) < statusMaxAge && now.Sub(ps.currentAt) < staleAfter
-		if confirmed && ps.storeUpSince.Before(earliest) {
-			earliest = ps.storeUpSince
+		if now.Sub(ps.receivedAt) < statusMaxAge {
+			observations = append(observations, jpdirectory.Availability{UpSince: ps.storeUpSince, ConfirmedAt: ps.currentAt})
 		}
 	}
-	return earliest
+	return jpdirectory.StoreUpSince(currentAt, observations)
 }
 
 // updateFreshness removes expired statuses of peers and passes the age of the directory and the store's availability to
--- a/io/jpentry/freshness_test.go
+++ b/io/jpentry/freshness_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"jacinthpass/core/jpdirectory"
+	"jacinthpass/io/jppeer"
 )
 
 // Guards against an outage of the store that goes unnoticed, because instances relay
@@ -45,3 +46,22 @@
 		t.Errorf("the store counts as available for %v, last answer before that was a minute ago", uptime)
 	}
 }
+
+// Guards against an outage of the store that goes unnoticed, because a peer whose
+// directory is a little older still reports the uptime from before it.
+func TestStoreUptimeOfLatestDirectory(t *testing.T) {
+	en := newTestEntry(t, &registryStore{})
+	now := time.Now()
+	for _, row := range []struct {
+		peer        string
+		age, uptime time.Duration
+	}{
+		{"10.0.0.1", 3 * time.Second, time.Minute}, // the store was down after that
+		{"10.0.0.2", 100 * time.Millisecond, 200 * time.Millisecond},
+	} {
+		en.handleStatus(now, row.peer, jppeer.DirectoryStatus{Age: row.age, StoreUptime: row.uptime})
+	}
+	if uptime := now.Sub(en.storeUpSince(now)); uptime != 200*time.Millisecond {
+		t.Errorf("the store counts as available for %v, want 200 ms", uptime)
+	}
+}
