jpdispatch: a server that is removed again has been there in between

Callers could see open flows reset although their server had registered again after a lapse of its entry: an instance that was cut off meanwhile heard only of the second removal and counted the absence from the first one.

Change: a removal with a newer revision starts the absence again. Test: TestAbsenceStartsAgain failed before (reset for server_gone).

--- a/core/jpdispatch/dispatcher.go
+++ b/core/jpdispatch/dispatcher.go
@@ -196,6 +196,8 @@
 	previous := ds.servers[id]
 	if cfg == nil {
 		if previous != nil {
+			// If it was not present before, its entry has been there in between,
+			// so its absence starts again.
 			previous.markLeft(now, ds.currentAt)
 		}
 		return previous != nil
@@ -226,7 +228,9 @@
 // same id, and any other server that had the same address.
 func (ds *Dispatcher) replace(now time.Time, previous, next *server) {
 	if previous != nil {
-		previous.markLeft(now, ds.currentAt)
+		if previous.present {
+			previous.markLeft(now, ds.currentAt)
+		}
 		previous.replaced = true
 		if previous.cfg.Address == next.cfg.Address && previous.tag == next.tag {
 			previous.setSuccessor(next)
@@ -243,7 +247,9 @@
 	}
 	for _, sr := range ds.servers {
 		if sr != next && sr.cfg.Address == next.cfg.Address {
-			sr.markLeft(now, ds.currentAt)
+			if sr.present {
+				sr.markLeft(now, ds.currentAt)
+			}
 			sr.replaced = true
 		}
 	}
--- a/core/jpdispatch/openflow_test.go
+++ b/core/jpdispatch/openflow_test.go
@@ -105,3 +105,17 @@
 		}
 	}
 }
+
+// Guards against an open flow that is reset because its server's entry is missing for the
+// second time, and this instance has not heard that it was back in between.
+func TestAbsenceStartsAgain(t *testing.T) {
+	hn := newHarness(t, deskServer(1, localDC))
+	syn, sr := hn.open(at(0))
+	hn.setFresh(at(1000))
+	hn.remove(at(1000), sr.ID)
+	hn.setFresh(at(6000))
+	hn.remove(at(6000), sr.ID)
+	hn.wantDecision(hn.Handle(at(6000), nextPacket(syn, sr.Tag, 100)), Forward, Known)
+	hn.setFresh(at(10_100))
+	hn.wantDecision(hn.Handle(at(10_100), nextPacket(syn, sr.Tag, 100)), Reset, ServerGone)
+}
--- a/core/jpdispatch/server.go
+++ b/core/jpdispatch/server.go
@@ -132,12 +132,11 @@
 	return uint32(xxhash.Sum64(data[:]))
 }
 
+// markLeft records that the directory no longer contains the server's entry.
 func (sr *server) markLeft(now, currentAt time.Time) {
-	if sr.present {
-		sr.present = false
-		sr.leftAt = now
-		sr.lastListedAt = currentAt
-	}
+	sr.present = false
+	sr.leftAt = now
+	sr.lastListedAt = currentAt
 }
 
 // setSuccessor records that the server has restarted with the same id and address.
