jpdispatch: another writer's entry ends no flow of a living server

Callers would see open flows reset, or new ones sent to the wrong service, when a complete but false entry is written: one with the address of a living server under another key, or one under the server's own key with another start, address, service, data centre or state.

Cause: Dispatcher took an entry as proof that the process which had its id or address before has ended ("replaced"), and reset flows without a further sign.

Change: - A process ends only by a failed check or by the absence of its own entry for 4 s while the store answered. Its entry may come back: then it is the server again, and what came in between never was one. - An address belongs to the server that named it first, as long as its entry exists. Others get no flows until then. - An entry that contradicts the one before (service, data centre, ready after draining) gets no new flows for 3 s, in which the server rewrites its own. - An entry without a start may describe any process with its id and address.

Servers of the tests now have a known start, as those of the platform.

Cost: flows of a server that restarts or is replaced unnoticed by any check end after 4 s instead of at once; no calls or messages are added.

--- a/core/jpdispatch/check.go
+++ b/core/jpdispatch/check.go
@@ -70,7 +70,7 @@
 func (ds *Dispatcher) references(suspect *server) []Endpoint {
 	var local, remote *server
 	for _, sr := range ds.servers {
-		if sr == suspect || sr.silent || sr.replaced || sr.cfg.Address == suspect.cfg.Address {
+		if sr == suspect || sr.silent || sr.cfg.Address == suspect.cfg.Address {
 			continue
 		}
 		best := &remote
@@ -173,7 +173,7 @@
 			continue
 		}
 		switch {
-		case !sr.present && !sr.replaced && sr.trackedFlows > 0:
+		case !sr.present && !ds.addressTaken(sr) && sr.trackedFlows > 0:
 			list = append(list, ds.beginCheck(sr, EntryRemoved))
 		case sr.present && sr.silent:
 			list = append(list, ds.beginCheck(sr, SilentCheckDue))
--- a/core/jpdispatch/dispatcher.go
+++ b/core/jpdispatch/dispatcher.go
@@ -59,10 +59,12 @@
 	idleTimeout    time.Duration
 	routes         map[netip.AddrPort]*jpdirectory.Route
 	services       map[string]*service
-	servers        map[string]*server // by id
-	arrivals       uint64             // servers that have come so far
-	serversByTag   map[uint32]*server // includes servers that left the directory
-	dataCentresOut map[string]bool    // by name of the data centre
+	servers        map[string]*server   // by id
+	former         map[string][]*server // earlier processes of servers by id, latest last
+	arrivals       uint64               // servers that have come so far
+	serversByTag   map[uint32]*server   // includes servers that left the directory
+	addressOwners  map[netip.AddrPort]*server
+	dataCentresOut map[string]bool // by name of the data centre
 	flows          *jpflow.Table[FlowKey, flow]
 	cutEvidence    map[string]cutEvidence // by data centre
 	unknownTags    map[uint32]time.Time   // first packet with the tag, by tag
@@ -87,7 +89,9 @@
 		routes:         map[netip.AddrPort]*jpdirectory.Route{},
 		services:       map[string]*service{},
 		servers:        map[string]*server{},
+		former:         map[string][]*server{},
 		serversByTag:   map[uint32]*server{},
+		addressOwners:  map[netip.AddrPort]*server{},
 		dataCentresOut: map[string]bool{},
 		flows:          jpflow.New[FlowKey, flow](maxFlows),
 		cutEvidence:    map[string]cutEvidence{},
@@ -106,7 +110,7 @@
 	// The entry of a server counts only if the manifest has its service.
 	for _, rc := range records {
 		if rc.Key.Kind == jpdirectory.ManifestRecord {
-			ds.applyManifest(now, rc.Manifest)
+			ds.applyManifest(rc.Manifest)
 			reassign = true
 		}
 	}
@@ -143,7 +147,7 @@
 	ds.position.Count, ds.position.LocalCount = max(ps.Count, 1), max(ps.LocalCount, 1)
 }
 
-func (ds *Dispatcher) applyManifest(now time.Time, mf *jpdirectory.Manifest) {
+func (ds *Dispatcher) applyManifest(mf *jpdirectory.Manifest) {
 	if mf == nil {
 		return
 	}
@@ -157,21 +161,7 @@
 	for _, sc := range mf.Services {
 		services[sc.Name] = &service{cfg: sc}
 	}
-	known := ds.services
 	ds.services = services
-	var added []*server
-	for _, sr := range ds.servers {
-		if known[sr.cfg.Service] == nil && services[sr.cfg.Service] != nil {
-			added = append(added, sr)
-		}
-	}
-	// Of several servers with one address, the one that came last has it.
-	slices.SortFunc(added, func(a, b *server) int { return cmp.Compare(b.arrival, a.arrival) })
-	for _, sr := range added {
-		if sr.present {
-			ds.takeAddress(now, sr)
-		}
-	}
 }
 
 // applyDataCentreOut sets whether a data centre is out of service. When it
@@ -191,7 +181,9 @@
 }
 
 // applyServer applies the entry of a server, or its removal. It reports whether the
-// servers of services may have changed.
+// servers of services may have changed. An entry may come from another writer, so it
+// ends no flows: those of an earlier process with the id are judged by the absence of
+// that process's entry, and it may come back.
 func (ds *Dispatcher) applyServer(now time.Time, id string, cfg *jpdirectory.Server) (reassign bool) {
 	previous := ds.servers[id]
 	if cfg == nil {
@@ -202,57 +194,78 @@
 		}
 		return previous != nil
 	}
-	if previous != nil && previous.cfg.Started.Equal(cfg.Started) && previous.cfg.Address == cfg.Address {
-		if cfg.WarmAt.After(previous.cfg.WarmAt) {
-			previous.turnCold(now)
-		}
-		reassign = !previous.present || previous.cfg.Service != cfg.Service || previous.cfg.DataCentre != cfg.DataCentre
-		previous.cfg = *cfg
-		previous.present = true
-		return reassign
+	sr := ds.knownProcess(previous, *cfg)
+	switch {
+	case sr == nil:
+		sr = newServer(*cfg)
+		ds.arrivals++
+		sr.arrival = ds.arrivals
+		sr.turnCold(now)
+		reassign = true
+	case cfg.WarmAt.After(sr.cfg.WarmAt):
+		sr.turnCold(now)
 	}
-	sr := newServer(*cfg)
-	ds.arrivals++
-	sr.arrival = ds.arrivals
-	sr.turnCold(now)
-	ds.replace(now, previous, sr)
-	ds.servers[id] = sr
-	if other := ds.serversByTag[sr.tag]; other == nil || !other.present || other.cfg.ID == id {
-		ds.serversByTag[sr.tag] = sr
+	if previous != nil && contradicts(*cfg, previous.cfg) {
+		sr.heldUntil = now.Add(contradictionHold)
 	}
-	delete(ds.unknownTags, sr.tag)
-	return true
+	reassign = reassign || sr != previous || !sr.present || sr.cfg.Service != cfg.Service || sr.cfg.DataCentre != cfg.DataCentre
+	if sr != previous {
+		ds.replaceProcess(now, previous, sr)
+	}
+	sr.update(*cfg)
+	return reassign
 }
 
-// replace marks the servers that a new server replaces: previous, which had the
-// same id, and any other server that had the same address.
-func (ds *Dispatcher) replace(now time.Time, previous, next *server) {
+// knownProcess returns the server that an entry describes: the current process with
+// its id, or an earlier one whose entry was overwritten. It returns nil for a new one.
+func (ds *Dispatcher) knownProcess(current *server, cfg jpdirectory.Server) *server {
+	if current == nil || current.describedBy(cfg) {
+		return current
+	}
+	for _, sr := range ds.former[cfg.ID] {
+		if sr.describedBy(cfg) {
+			return sr
+		}
+	}
+	return nil
+}
+
+// replaceProcess makes next the current process with its id, in place of previous, which
+// may be nil.
+func (ds *Dispatcher) replaceProcess(now time.Time, previous, next *server) {
+	id := next.cfg.ID
+	former := slices.DeleteFunc(ds.former[id], func(sr *server) bool { return sr == next })
 	if previous != nil {
 		if previous.present {
 			previous.markLeft(now, ds.currentAt)
 		}
-		previous.replaced = true
-		if previous.cfg.Address == next.cfg.Address && previous.tag == next.tag {
+		previous.successor = nil
+		if previous.cfg.Address == next.cfg.Address {
 			previous.setSuccessor(next)
 		}
+		former = append(former, previous)
 	}
-	ds.takeAddress(now, next)
-}
-
-// takeAddress marks other servers with the address of a server as replaced, unless its
-// service does not exist: then its entry names no server.
-func (ds *Dispatcher) takeAddress(now time.Time, next *server) {
-	if ds.services[next.cfg.Service] == nil {
-		return
-	}
-	for _, sr := range ds.servers {
-		if sr != next && sr.cfg.Address == next.cfg.Address {
-			if sr.present {
-				sr.markLeft(now, ds.currentAt)
-			}
-			sr.replaced = true
+	// If next is an earlier process, its entry was overwritten in the meantime: what came
+	// after it was never a process, and the flows are its own.
+	former = slices.DeleteFunc(former, func(sr *server) bool {
+		if sr.arrival > next.arrival {
+			sr.successor, sr.endedAt = next, time.Time{}
 		}
+		return sr.arrival > next.arrival
+	})
+	next.successor = nil
+	ds.former[id] = former
+	ds.servers[id] = next
+	if other := ds.serversByTag[next.tag]; other == nil || !other.present || other.cfg.ID == id {
+		ds.serversByTag[next.tag] = next
 	}
+	delete(ds.unknownTags, next.tag)
+}
+
+// contradicts reports whether an entry differs from the known one with its id in what
+// does not change while a server process runs.
+func contradicts(next, known jpdirectory.Server) bool {
+	return next.Service != known.Service || next.DataCentre != known.DataCentre || known.Draining && !next.Draining
 }
 
 // assignServers rebuilds the list of present servers of each service.
@@ -260,11 +273,12 @@
 	for _, sc := range ds.services {
 		sc.servers = sc.servers[:0]
 	}
+	ds.assignAddresses()
 	for _, sr := range ds.servers {
 		sc := ds.services[sr.cfg.Service]
 		// A server whose tag belongs to another server gets no flows, because
 		// their packets would be forwarded to the other one.
-		if sr.present && sc != nil && ds.serversByTag[sr.tag] == sr {
+		if sr.present && sc != nil && ds.serversByTag[sr.tag] == sr && ds.addressOwners[sr.cfg.Address] == sr {
 			sr.local = sr.cfg.DataCentre == ds.dataCentre
 			sc.servers = append(sc.servers, sr)
 		}
@@ -274,6 +288,27 @@
 	}
 }
 
+// assignAddresses finds the owner of each address: of several present servers that name
+// it, the one that came first. An address is used again only after its server has
+// ended, so the others are false, or the entry of the first one is about to expire.
+func (ds *Dispatcher) assignAddresses() {
+	clear(ds.addressOwners)
+	for _, sr := range ds.servers {
+		if !sr.present || ds.services[sr.cfg.Service] == nil {
+			continue
+		}
+		if owner := ds.addressOwners[sr.cfg.Address]; owner == nil || sr.arrival < owner.arrival {
+			ds.addressOwners[sr.cfg.Address] = sr
+		}
+	}
+}
+
+// addressTaken reports whether the address of a server belongs to another one.
+func (ds *Dispatcher) addressTaken(sr *server) bool {
+	owner := ds.addressOwners[sr.cfg.Address]
+	return owner != nil && owner != sr
+}
+
 // sortServers sorts the servers by data centre, this instance's first, and id.
 func (sc *service) sortServers() {
 	slices.SortFunc(sc.servers, func(a, b *server) int {
--- a/core/jpdispatch/handle.go
+++ b/core/jpdispatch/handle.go
@@ -255,7 +255,7 @@
 // permanentlyGone reports whether a server that left the directory can't continue
 // a flow that this instance first saw at firstSeenAt.
 func (ds *Dispatcher) permanentlyGone(now time.Time, sr *server, firstSeenAt time.Time) bool {
-	if sr.replaced || sr.silentFor(now, firstSeenAt) || now.Sub(sr.leftAt) >= tagRetention {
+	if sr.silentFor(now, firstSeenAt) || now.Sub(sr.leftAt) >= tagRetention {
 		return true
 	}
 	return ds.absentSince(now, sr.leftAt)
--- a/core/jpdispatch/harness_test.go
+++ b/core/jpdispatch/harness_test.go
@@ -87,11 +87,12 @@
 // the last minute.
 func (hn *harness) setFresh(now time.Time) { hn.SetFreshness(now, now.Add(-time.Minute)) }
 
-// deskServer returns a server of the service "desk".
+// deskServer returns a server of the service "desk" that has run for a minute.
 func deskServer(number int, dataCentre string) jpdirectory.Server {
 	return jpdirectory.Server{
 		ID: fmt.Sprintf("i-%d", number), Number: uint64(number), Service: "desk", DataCentre: dataCentre, Slots: 2,
 		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 2, 0, byte(number)}), 80),
+		Started: at(-60_000),
 	}
 }
 
--- a/core/jpdispatch/place.go
+++ b/core/jpdispatch/place.go
@@ -84,7 +84,7 @@
 		return Decision{Outcome: Forward, Reason: Known, Server: fl.server.endpoint(), Check: check}
 	}
 	dc := Decision{Outcome: Refuse, Reason: NoServer, Reset: resetOf(pk, NoServer)}
-	servers := ds.eligibleUnreachable(ds.services[pickService(rt, pk)])
+	servers := ds.eligibleUnreachable(now, ds.services[pickService(rt, pk)])
 	if len(servers) > 0 {
 		dc.Reason, dc.Reset.Reason = Unreachable, Unreachable
 		dc.Check = ds.checkAfterRefusal(now, servers)
@@ -97,13 +97,13 @@
 
 // eligibleUnreachable returns the servers of a service that might get new flows if
 // they were reachable.
-func (ds *Dispatcher) eligibleUnreachable(sc *service) []*server {
+func (ds *Dispatcher) eligibleUnreachable(now time.Time, sc *service) []*server {
 	if sc == nil {
 		return nil
 	}
 	var list []*server
 	for _, sr := range sc.servers {
-		if ds.unreachable(sr) && ds.eligible(sc, sr) {
+		if ds.unreachable(sr) && ds.eligible(now, sc, sr) {
 			list = append(list, sr)
 		}
 	}
@@ -153,7 +153,7 @@
 	choices := 0
 	for _, accepts := range []func(time.Time, *service, *server) bool{ds.available, ds.mayAnswer} {
 		for _, sr := range sc.servers {
-			if !ds.eligible(sc, sr) || !accepts(now, sc, sr) {
+			if !ds.eligible(now, sc, sr) || !accepts(now, sc, sr) {
 				continue
 			}
 			choices++
@@ -181,7 +181,7 @@
 		if ix == sc.local && lowest < remotePenalty {
 			break
 		}
-		if !ds.eligible(sc, sr) || fl != nil && fl.hasTried(sr.tag) || !accepts(now, sc, sr) {
+		if !ds.eligible(now, sc, sr) || fl != nil && fl.hasTried(sr.tag) || !accepts(now, sc, sr) {
 			continue
 		}
 		choices++
@@ -200,8 +200,8 @@
 }
 
 // eligible reports whether a server may get new flows at all.
-func (ds *Dispatcher) eligible(sc *service, sr *server) bool {
-	return !sr.cfg.Draining && !ds.dataCentresOut[sr.cfg.DataCentre] && sr.activeFlows < sc.cfg.MaxFlows
+func (ds *Dispatcher) eligible(now time.Time, sc *service, sr *server) bool {
+	return !sr.cfg.Draining && !now.Before(sr.heldUntil) && !ds.dataCentresOut[sr.cfg.DataCentre] && sr.activeFlows < sc.cfg.MaxFlows
 }
 
 // available reports whether a server is warm and not suspected.
--- a/core/jpdispatch/server.go
+++ b/core/jpdispatch/server.go
@@ -70,6 +70,11 @@
 	// responses are lost.
 	registrationDelay = 8 * time.Second
 
+	// contradictionHold is how long a server gets no new flows after an entry that
+	// contradicts the one before. A server rewrites its entry within a second; a change
+	// takes up to 2 s from the store to an instance.
+	contradictionHold = 3 * time.Second
+
 	// peerLoadTTL is how long a load that a peer reported counts: three of the
 	// peer's report intervals.
 	peerLoadTTL = 1500 * time.Millisecond
@@ -82,9 +87,9 @@
 	arrival          uint64 // position in the order in which servers have come
 	present          bool
 	local            bool      // in this instance's data centre; set for the servers of services
-	replaced         bool      // another server process has its id or its address
-	successor        *server   // the same server after a restart
-	endedAt          time.Time // if it has restarted: flows first seen before this time ended with it
+	heldUntil        time.Time // no new flows before, see contradictionHold
+	successor        *server   // the process that its entry describes after it, at the same address
+	endedAt          time.Time // if there is a successor: flows first seen before this time stay
 	leftAt           time.Time // when this instance learned that it left the directory
 	lastListedAt     time.Time // latest time at which the directory was known to contain it; set when it leaves
 	dataCentreBackAt time.Time // when its data centre came back into service
@@ -139,10 +144,26 @@
 	sr.lastListedAt = currentAt
 }
 
-// setSuccessor records that the server has restarted with the same id and address.
-// The restart was at the earliest registrationDelay before the directory was last
-// known to contain the old process. A flow opened since then may belong to either
-// process; the server itself resets flows that it doesn't know.
+// describedBy reports whether an entry describes this server process. A start that is
+// not known matches any, because another writer may leave it out.
+func (sr *server) describedBy(cfg jpdirectory.Server) bool {
+	sameStart := sr.cfg.Started.Equal(cfg.Started) || sr.cfg.Started.IsZero() || cfg.Started.IsZero()
+	return sameStart && sr.cfg.Address == cfg.Address
+}
+
+// update applies a further entry of this server process.
+func (sr *server) update(cfg jpdirectory.Server) {
+	if cfg.Started.IsZero() {
+		cfg.Started = sr.cfg.Started
+	}
+	sr.cfg = cfg
+	sr.present = true
+}
+
+// setSuccessor records that the server has restarted at its address, at the earliest
+// registrationDelay before the directory was last known to contain the old process. A
+// flow opened since then may belong to either process; the server itself resets flows
+// that it doesn't know.
 func (sr *server) setSuccessor(next *server) {
 	sr.successor, sr.endedAt = next, sr.lastListedAt.Add(-registrationDelay)
 }
--- a/core/jpdispatch/simopen_test.go
+++ b/core/jpdispatch/simopen_test.go
@@ -1,8 +1,11 @@
 package jpdispatch
 
 import (
+	"fmt"
 	"slices"
 	"time"
+
+	"jacinthpass/core/jpdirectory"
 )
 
 // registerRestarted writes the entry of a server that has restarted with its id, late
@@ -50,6 +53,49 @@
 	sm.schedule(sm.randomTime(100, 6000-int(simEntryTTL.Milliseconds())), func() { sm.register(sr) })
 }
 
+// writeFalseEntry does what another writer may do: it overwrites the entry of a server,
+// which writes it again within a heartbeat, or adds one with the address of a server.
+func (sm *simulation) writeFalseEntry() {
+	sr := sm.pickServer()
+	if sr == nil {
+		return
+	}
+	kind := sm.playRng.IntN(4)
+	next := sr.cfg
+	switch kind {
+	case 0:
+		next.Started = time.Time{}
+	case 1:
+		next.Started = sm.now.Add(-sm.randomTime(0, 60_000))
+	case 2:
+		sm.lastID++
+		next.ID, next.Number = fmt.Sprintf("i-%d", sm.lastID), uint64(sm.lastID)
+		sm.schedule(simEntryTTL, func() {
+			sm.putRecord(jpdirectory.Record{Key: jpdirectory.Key{Kind: jpdirectory.ServerRecord, Name: next.ID}})
+		})
+	}
+	rc := jpdirectory.Record{Key: jpdirectory.Key{Kind: jpdirectory.ServerRecord, Name: next.ID}, Server: &next}
+	if kind == 3 {
+		rc.Server = nil // unreadable
+	}
+	sm.note("store: another writer, kind %d, of %s", kind, sr.cfg.ID)
+	sm.putRecord(rc)
+	if next.ID == sr.cfg.ID {
+		sm.schedule(sm.randomTime(100, 770), func() { sm.rewrite(sr) })
+	}
+}
+
+// rewrite writes the entry of a server again, once the store is available.
+func (sm *simulation) rewrite(sr *simServer) {
+	switch {
+	case !sr.alive || !sr.listed:
+	case !sm.storeUp():
+		sm.schedule(simStep, func() { sm.rewrite(sr) })
+	default:
+		sm.setListed(sr, true)
+	}
+}
+
 // usedPort is the port of a flow that its caller has closed.
 type usedPort struct {
 	port     uint16
--- a/core/jpdispatch/simplay_test.go
+++ b/core/jpdispatch/simplay_test.go
@@ -18,6 +18,7 @@
 	late   bool // entries of restarted servers arrive late, those of others lapse
 	copies bool // SYNs are repeated, and several servers accept them
 	ports  bool // callers reuse the ports of flows that they have closed
+	writes bool // another writer overwrites entries of servers and adds false ones
 
 	copiesElsewhere bool // copies of SYNs take other ways
 }
@@ -31,12 +32,14 @@
 	version       uint64
 	nextManifest  time.Time
 	nextLapse     time.Time
+	nextWrite     time.Time // of another writer
 	usedPorts     []usedPort
 }
 
 func newPlayState(seed uint64) playState {
 	return playState{
 		playRng: rand.New(rand.NewPCG(seed, 7)), routes: []netip.AddrPort{route}, nextManifest: at(3000), nextLapse: at(3000),
+		nextWrite: at(3000),
 	}
 }
 
@@ -54,6 +57,10 @@
 		sm.nextLapse = sm.now.Add(sm.randomTime(1000, 6000))
 		sm.lapseEntry()
 	}
+	if sm.play.writes && sm.storeUp() && !sm.now.Before(sm.nextWrite) {
+		sm.nextWrite = sm.now.Add(sm.randomTime(300, 3000))
+		sm.writeFalseEntry()
+	}
 	if sm.play.ports && sm.playRng.IntN(4) == 0 {
 		sm.closeFlow()
 	}
@@ -166,3 +173,11 @@
 func TestSimulationOfPorts(t *testing.T) {
 	simulateRows(t, []simRow{{"ports", simPlay{ports: true}}})
 }
+
+// Guards against open flows that are reset because of entries of another writer.
+func TestSimulationOfWriters(t *testing.T) {
+	simulateRows(t, []simRow{
+		{"store", simPlay{writes: true}},
+		{"peers", simPlay{writes: true, peers: true}},
+	})
+}
--- a/core/jpdispatch/tick.go
+++ b/core/jpdispatch/tick.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -104,6 +105,13 @@
 			delete(ds.servers, id)
 		}
 	}
+	for id, list := range ds.former {
+		list = slices.DeleteFunc(list, func(sr *server) bool { return now.Sub(sr.leftAt) >= tagRetention })
+		ds.former[id] = list
+		if len(list) == 0 {
+			delete(ds.former, id)
+		}
+	}
 	for tag, sr := range ds.serversByTag {
 		if !sr.present && now.Sub(sr.leftAt) >= tagRetention {
 			delete(ds.serversByTag, tag)
