jpentry: SYNs that waited while the process was paused are dropped

The other server's SYN+ACK carried its tag, and the callers' next packets went there.

Cause: nothing told a SYN that had waited from a new one. The pause was noticed by the next tick only, for checks of servers, and Handle did not ask.

Change: the reader of the socket notes when it was last empty, by the same calls as before; a packet arrived after that. The first of packets, ticks, messages and results that runs after a pause notes it (Observe), also that of a suspended machine, whose steady clock stands still. SYNs that may have arrived before it are dropped: callers repeat them within 600 ms. Other packets are forwarded, but are no sign of life.

--- a/core/jpdispatch/dispatcher.go
+++ b/core/jpdispatch/dispatcher.go
@@ -71,6 +71,8 @@
 	routelessFlows map[FlowKey]time.Time  // first packet of an open flow whose route is not known
 	lastTick       time.Time
 	nextExpiry     time.Time
+	observedAt     time.Time // latest call of Observe
+	observedDay    time.Time // time of day of that call
 	evidenceSince  time.Time // observations of servers before this time are ignored
 }
 
--- a/core/jpdispatch/handle.go
+++ b/core/jpdispatch/handle.go
@@ -139,7 +139,7 @@
 	}
 	fl.assign(sr)
 	fl.state = open
-	if fl.triedCount > 0 {
+	if fl.triedCount > 0 && !ds.mayHaveWaited(pk) {
 		ds.noteAlive(now, sr)
 	}
 	return fl, Decision{Reason: reason}
@@ -267,7 +267,7 @@
 func (ds *Dispatcher) observe(now time.Time, fl *flow, pk Packet) Check {
 	sr := fl.server
 	if pk.Flags&ACK != 0 && (fl.lastAck == 0 || int32(pk.Ack-fl.lastAck) > 0) {
-		if fl.lastAck != 0 {
+		if fl.lastAck != 0 && !ds.mayHaveWaited(pk) {
 			ds.noteAlive(now, sr)
 		}
 		fl.lastAck = pk.Ack
--- a/core/jpdispatch/packet.go
+++ b/core/jpdispatch/packet.go
@@ -34,6 +34,10 @@
 	Ack      uint32 // of a SYN: number of earlier transmissions
 	Length   int    // of the data, in bytes
 	Request  string // id of the request that starts in the data, empty if none
+
+	// ArrivedAfter is the latest time at which the instance had no packet left to
+	// read, so that this one arrived later. Zero if it has certainly not waited.
+	ArrivedAfter time.Time
 }
 
 // Outcome is the action to take on a packet.
@@ -67,6 +71,7 @@
 	RouteRemoved               // the manifest no longer has the flow's route
 	StrayReset                 // a reset of an unknown flow
 	Late                       // packet of a flow that this instance has reset
+	Stale                      // a SYN that may have waited while this instance was paused
 	reasonCount
 )
 
@@ -76,7 +81,7 @@
 var reasonNames = [Reasons]string{
 	Placed: "placed", Moved: "moved", Known: "known", Tagged: "tagged", NotReady: "not_ready",
 	NoRoute: "no_route", NoServer: "no_server", Unreachable: "unreachable", UnknownTag: "unknown_tag", ServerGone: "server_gone",
-	ServerSilent: "server_silent", RouteRemoved: "route_removed", StrayReset: "stray_reset", Late: "late",
+	ServerSilent: "server_silent", RouteRemoved: "route_removed", StrayReset: "stray_reset", Late: "late", Stale: "stale",
 }
 
 // String returns the name of the reason in logs and metrics, in snake case.
--- a/core/jpdispatch/place.go
+++ b/core/jpdispatch/place.go
@@ -16,6 +16,9 @@
 // handleSYN selects a server for a new flow, or another one for a flow whose
 // earlier SYN was not answered.
 func (ds *Dispatcher) handleSYN(now time.Time, pk Packet) Decision {
+	if ds.mayHaveWaited(pk) {
+		return Decision{Reason: Stale}
+	}
 	rt := ds.routes[pk.Route]
 	if rt == nil {
 		return ds.refuseNoRoute(now, pk)
@@ -64,6 +67,14 @@
 	}
 }
 
+// mayHaveWaited reports whether a packet may have waited during the latest pause of this
+// process. A SYN that did is dropped: by now, copies of it may have opened its flow
+// through another instance, and the second SYN+ACK of another server would divert the
+// caller's next packets to that server.
+func (ds *Dispatcher) mayHaveWaited(pk Packet) bool {
+	return !pk.ArrivedAfter.IsZero() && !pk.ArrivedAfter.After(ds.evidenceSince)
+}
+
 // refuseNoRoute refuses a flow to an address without a route. While the directory
 // may lack a new route, or if another instance may have placed the flow, the packet is
 // dropped instead.
--- a/core/jpdispatch/tick.go
+++ b/core/jpdispatch/tick.go
@@ -7,8 +7,10 @@
 )
 
 const (
-	// pauseThreshold is the time between two ticks above which this process is
-	// taken to have been paused. Packets may then have waited in its sockets.
+	// pauseThreshold is the time between two calls of Observe above which this process
+	// is taken to have been paused. Packets, responses and messages may then have waited
+	// in its sockets. The routers send copies of a SYN to another instance only after
+	// 0.5 s or more.
 	pauseThreshold = 300 * time.Millisecond
 
 	// expiryInterval is the time between two searches for expired servers, tags and
@@ -28,9 +30,6 @@
 // Tick expires old state and returns the resets of flows whose servers are lost.
 // It must be called ten times a second.
 func (ds *Dispatcher) Tick(now time.Time) []ResetPacket {
-	if !ds.lastTick.IsZero() && now.Sub(ds.lastTick) > pauseThreshold {
-		ds.NotePause(now)
-	}
 	ds.lastTick = now
 	if !now.Before(ds.nextExpiry) {
 		ds.nextExpiry = now.Add(expiryInterval)
@@ -51,6 +50,35 @@
 	return resets
 }
 
+// Observe notes a pause of this process if the latest call was too long ago. It must be
+// called before anything that came from outside is handled, because whichever goroutine
+// runs first after a pause must not draw conclusions from what has waited, and ten times
+// a second besides.
+//
+// A suspended machine's steady clock, by which now is compared, does not count the
+// suspension; the time of day does. Observe returns the time by which the time of day has
+// advanced more, if that is a pause too, and 0 otherwise. The time of day may also have
+// been set; that counts as a pause.
+func (ds *Dispatcher) Observe(now, timeOfDay time.Time) (hidden time.Duration) {
+	if !ds.observedAt.IsZero() {
+		elapsed := max(now.Sub(ds.observedAt), 0)
+		hidden = timeOfDay.Round(0).Sub(ds.observedDay) - elapsed
+		if hidden <= pauseThreshold {
+			hidden = 0
+		}
+		if elapsed+hidden > pauseThreshold {
+			ds.NotePause(now)
+		}
+	}
+	if now.After(ds.observedAt) {
+		ds.observedAt, ds.observedDay = now, timeOfDay.Round(0)
+	}
+	return hidden
+}
+
+// PausedAt returns when the latest pause of this process was noted, zero if none was.
+func (ds *Dispatcher) PausedAt() time.Time { return ds.evidenceSince }
+
 // NotePause records that packets may have waited in this process until now, so
 // that packets sent before do not count against servers.
 func (ds *Dispatcher) NotePause(now time.Time) {
--- a/io/jpentry/control.go
+++ b/io/jpentry/control.go
@@ -48,6 +48,7 @@
 // while mu is held.
 func (en *Entry) tick(now time.Time) {
 	en.mu.Lock()
+	en.observe(now)
 	en.updateFreshness(now)
 	resets := en.dispatcher.Tick(now)
 	heartbeats := en.group.Tick(now)
@@ -269,6 +270,10 @@
 	}
 }
 
+// observe notes a pause of this process, see jpdispatch.Dispatcher.Observe. The caller
+// holds mu.
+func (en *Entry) observe(now time.Time) { en.dispatcher.Observe(now, now) }
+
 // inDataCentre reports whether a peer is known to be in this instance's data
 // centre. The caller holds mu.
 func (en *Entry) inDataCentre(peer string) bool {
--- a/io/jpentry/entry.go
+++ b/io/jpentry/entry.go
@@ -73,7 +73,7 @@
 	nextStatus     time.Time // when the next status is due
 	statusRevision uint64    // revision in the last status sent to peers
 	requestLimiter *jpdirectory.RequestLimiter
-	held           jpdispatch.HoldQueue[[]byte] // packets received before the directory had a manifest
+	held           jpdispatch.HoldQueue[heldPacket] // packets received before the directory had a manifest
 }
 
 // storeHandle is a client of the store with the address it was opened for.
--- a/io/jpentry/entry_test.go
+++ b/io/jpentry/entry_test.go
@@ -184,7 +184,7 @@
 	}
 	defer server.Close()
 	for no := range byte(3) {
-		en.handlePacket([]byte{no}, 0, 1)
+		en.handlePacket([]byte{no}, 0, 1, time.Time{})
 	}
 	en.handleStoreUpdate(jpdirectory.Update{Revision: 2, Full: true, CurrentAt: time.Now(), Records: []jpdirectory.Record{
 		{
--- a/io/jpentry/packets.go
+++ b/io/jpentry/packets.go
@@ -7,8 +7,10 @@
 	"net/netip"
 	"os"
 	"slices"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
 	"k8s.io/klog/v2"
 
 	"jacinthpass/core/jpdispatch"
@@ -23,8 +25,12 @@
 	defer context.AfterFunc(ctx, func() { _ = en.conn.SetReadDeadline(time.Unix(1, 0)) })()
 	headroom := en.platform.Codec.Headroom()
 	buffer := make([]byte, headroom+en.platform.MaxDatagramSize)
+	rd, err := newPacketReader(en.conn)
+	if err != nil {
+		return err
+	}
 	for ctx.Err() == nil {
-		size, _, err := en.conn.ReadFromUDPAddrPort(buffer[headroom:])
+		size, err := rd.read(buffer[headroom:])
 		switch {
 		case errors.Is(err, net.ErrClosed):
 			return err
@@ -33,23 +39,69 @@
 			en.metrics.readErrors.Add(1)
 			time.Sleep(readErrorDelay)
 		default:
-			en.handlePacket(buffer, headroom, size)
+			en.handlePacket(buffer, headroom, size, rd.emptyAt)
 		}
 	}
 	return nil
 }
 
+// packetReader reads a socket and notes when there was nothing to read. It is not safe
+// for concurrent use.
+type packetReader struct {
+	raw     syscall.RawConn
+	emptyAt time.Time // latest time at which no packet waited in the socket
+
+	buffer []byte // of the running read
+	size   int
+	err    error
+}
+
+func newPacketReader(conn *net.UDPConn) (*packetReader, error) {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	return &packetReader{raw: raw, emptyAt: time.Now()}, nil
+}
+
+// read waits for a packet and returns its size, cut to that of the buffer.
+func (rd *packetReader) read(buffer []byte) (int, error) {
+	rd.buffer = buffer
+	if err := rd.raw.Read(rd.tryRead); err != nil {
+		return 0, err
+	}
+	return rd.size, rd.err
+}
+
+// tryRead reads a packet if there is one, and reports whether the read is over. The time
+// is taken before, because the process may be paused after it.
+func (rd *packetReader) tryRead(fd uintptr) bool {
+	for {
+		now := time.Now()
+		rd.size, rd.err = unix.Read(int(fd), rd.buffer)
+		if errors.Is(rd.err, unix.EAGAIN) {
+			rd.emptyAt = now
+			return false
+		}
+		if !errors.Is(rd.err, unix.EINTR) {
+			return true
+		}
+	}
+}
+
 // handlePacket handles the packet of size bytes that follows headroom bytes in
-// buffer.
-func (en *Entry) handlePacket(buffer []byte, headroom, size int) {
+// buffer. It has arrived after a time, see jpdispatch.Packet.
+func (en *Entry) handlePacket(buffer []byte, headroom, size int, arrivedAfter time.Time) {
 	pk, ok := en.platform.Codec.Parse(buffer[headroom : headroom+size])
 	if !ok {
 		en.metrics.malformed.Add(1)
 		return
 	}
+	pk.ArrivedAfter = arrivedAfter
 	now := time.Now()
 	en.lastPacket.Store(now.UnixNano())
 	en.mu.Lock()
+	en.observe(now)
 	dc := en.dispatcher.Handle(now, pk)
 	current := en.directory.CurrentAt()
 	revision := en.directory.Revision()
@@ -65,7 +117,7 @@
 		en.platform.Codec.ToServer(buffer, dc.Server)
 		en.send(buffer[:headroom+size], dc.Server.Address)
 	case jpdispatch.Hold:
-		en.hold(now, buffer[headroom:headroom+size])
+		en.hold(now, heldPacket{slices.Clone(buffer[headroom : headroom+size]), arrivedAfter})
 	case jpdispatch.Refuse, jpdispatch.Reset:
 		en.sendReset(dc.Reset)
 	}
@@ -78,12 +130,18 @@
 	en.metrics.decisionTimes.observe(time.Since(now))
 }
 
-// hold keeps a copy of a packet until the directory has a manifest, unless the
-// directory got one meanwhile or too many packets wait.
-func (en *Entry) hold(now time.Time, packet []byte) {
+// heldPacket is a packet that was received before the directory had a manifest.
+type heldPacket struct {
+	data         []byte
+	arrivedAfter time.Time
+}
+
+// hold keeps a packet until the directory has a manifest, unless the directory got one
+// meanwhile or too many packets wait.
+func (en *Entry) hold(now time.Time, packet heldPacket) {
 	en.mu.Lock()
 	defer en.mu.Unlock()
-	if en.directory.Manifest() == nil && en.held.Add(now, slices.Clone(packet)) {
+	if en.directory.Manifest() == nil && en.held.Add(now, packet) {
 		return
 	}
 	en.metrics.droppedNotReady.Add(1)
@@ -100,7 +158,7 @@
 	headroom := en.platform.Codec.Headroom()
 	buffer := make([]byte, headroom+en.platform.MaxDatagramSize)
 	for _, packet := range packets {
-		en.handlePacket(buffer, headroom, copy(buffer[headroom:], packet))
+		en.handlePacket(buffer, headroom, copy(buffer[headroom:], packet.data), packet.arrivedAfter)
 	}
 	klog.InfoS("entry: held packets handled", "count", len(packets))
 }
