jpentry: answers and messages that waited during a pause are not recent

What an instance read just after a pause counted as the state of that moment: a response of the store and the ages in peers' messages made a directory current that was 3.5 s old, and a check that had ended unanswered during the pause made a server silent if its result was handled before the next tick. Each can end open flows of living servers: absence of an entry, an unknown tag and silence are judged by these times.

Change: a response is as old as its call if the process was paused during it; ages of peers don't count for one status interval after a pause; results of checks observe the pause first. The suspension of a machine is added to all ages.

--- a/core/jpdirectory/directory.go
+++ b/core/jpdirectory/directory.go
@@ -51,6 +51,11 @@
 	}
 }
 
+// AddAge makes the records older than the clock says, by a time that it has not counted.
+func (dr *Directory) AddAge(uncounted time.Duration) {
+	dr.currentAt = dr.currentAt.Add(-uncounted)
+}
+
 // Apply applies an update and returns the records that changed, in order of their
 // revisions. A partial update that starts after the directory's revision must not
 // be applied, because the changes in between would be missing; see Since.
--- a/io/jpentry/check.go
+++ b/io/jpentry/check.go
@@ -27,13 +27,7 @@
 		result, err := probe(dial, server.Address, check.References)
 		now := time.Now()
 		en.metrics.checksByResult[result].Add(1)
-		en.mu.Lock()
-		silence := en.dispatcher.HandleCheckResult(now, began, server, result)
-		if silence == jpdispatch.SilenceBegan {
-			en.nextStatus = now
-		}
-		silent := en.dispatcher.Stats().Silent
-		en.mu.Unlock()
+		silence := en.handleCheckResult(now, began, server, result)
 		switch silence {
 		case jpdispatch.SilenceBegan:
 			en.timeline.Add("check", "server_silent", server.ID, err.Error())
@@ -41,10 +35,29 @@
 			en.timeline.Add("check", "server_back", server.ID, "")
 		}
 		klog.InfoS("check: done", "server", server.ID, "address", server.Address, "cause", check.Cause,
-			"result", result, "err", err, "took_ms", now.Sub(began).Milliseconds(), "silent_servers", silent)
+			"result", result, "err", err, "took_ms", now.Sub(began).Milliseconds(), "silent_servers", en.silentServers())
 	}()
 }
 
+// handleCheckResult passes the result of a check to the dispatcher. A server that has
+// become silent is reported to the peers at once.
+func (en *Entry) handleCheckResult(now, began time.Time, server jpdispatch.Endpoint, result jpdispatch.CheckResult) jpdispatch.Silence {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	en.observe(now)
+	silence := en.dispatcher.HandleCheckResult(now, began, server, result)
+	if silence == jpdispatch.SilenceBegan {
+		en.nextStatus = now
+	}
+	return silence
+}
+
+func (en *Entry) silentServers() int {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	return en.dispatcher.Stats().Silent
+}
+
 // probe opens connections to an address until the result of the check is final.
 func probe(dial dialFunc, address netip.AddrPort, references []jpdispatch.Endpoint) (jpdispatch.CheckResult, error) {
 	var attempts jpdispatch.Attempts
--- a/io/jpentry/control.go
+++ b/io/jpentry/control.go
@@ -229,6 +229,7 @@
 	switch ms := msg.(type) {
 	case jppeer.Heartbeat:
 		en.mu.Lock()
+		en.observe(now)
 		en.group.HandleHeartbeat(now, ms.Member)
 		en.mu.Unlock()
 	case jppeer.DirectoryStatus:
@@ -247,18 +248,23 @@
 	}
 }
 
+// handleStatus handles a status of a peer. After a pause its ages are not known, because
+// it may have waited; the next one counts again.
 func (en *Entry) handleStatus(now time.Time, from string, ds jppeer.DirectoryStatus) {
 	en.mu.Lock()
-	en.statuses[from] = peerStatus{
-		revision: ds.Revision, currentAt: now.Add(-ds.Age), storeUpSince: now.Add(-ds.StoreUptime), receivedAt: now,
+	en.observe(now)
+	ps := peerStatus{revision: ds.Revision, receivedAt: now}
+	if !en.messagesMayBeOld(now) {
+		ps.currentAt, ps.storeUpSince = now.Add(-ds.Age), now.Add(-ds.StoreUptime)
+		en.directory.Confirm(ds.Revision, ps.currentAt)
 	}
+	en.statuses[from] = ps
 	en.dispatcher.HandleLoads(now, from, ds.Loads)
 	local := en.inDataCentre(from)
 	var checks []jpdispatch.Check
 	if local {
 		checks = en.dispatcher.HandleSilentServers(now, from, ds.SilentServers)
 	}
-	en.directory.Confirm(ds.Revision, now.Add(-ds.Age))
 	revision := en.directory.Revision()
 	requestDue := en.requestLimiter.Allow(now, revision, ds.Revision, local)
 	en.mu.Unlock()
@@ -270,9 +276,27 @@
 	}
 }
 
-// observe notes a pause of this process, see jpdispatch.Dispatcher.Observe. The caller
-// holds mu.
-func (en *Entry) observe(now time.Time) { en.dispatcher.Observe(now, now) }
+// observe notes a pause of this process, see jpdispatch.Dispatcher.Observe. Ages grow by
+// the part of it that the steady clock has not counted. The caller holds mu.
+func (en *Entry) observe(now time.Time) {
+	if hidden := en.dispatcher.Observe(now, now); hidden > 0 {
+		en.addUncounted(hidden)
+	}
+}
+
+// addUncounted makes what is known older by a time that the steady clock has not counted.
+// The caller holds mu.
+func (en *Entry) addUncounted(hidden time.Duration) {
+	en.directory.AddAge(hidden)
+	en.storeHealth.lastResponse = en.storeHealth.lastResponse.Add(-hidden)
+	clear(en.statuses)
+}
+
+// messagesMayBeOld reports whether messages of peers may have waited while this process
+// was paused: it reads all that have within a status interval. The caller holds mu.
+func (en *Entry) messagesMayBeOld(now time.Time) bool {
+	return now.Sub(en.dispatcher.PausedAt()) < statusInterval
+}
 
 // inDataCentre reports whether a peer is known to be in this instance's data
 // centre. The caller holds mu.
@@ -306,6 +330,10 @@
 func (en *Entry) handleUpdate(now time.Time, from string, du jppeer.DirectoryUpdate) {
 	en.mu.Lock()
 	defer en.mu.Unlock()
+	en.observe(now)
+	if en.messagesMayBeOld(now) {
+		du.Update.CurrentAt = time.Time{}
+	}
 	if !du.Update.Full && du.SinceRevision > en.directory.Revision() {
 		return // changes between the directory's revision and SinceRevision are missing
 	}
--- a/io/jpentry/entry_test.go
+++ b/io/jpentry/entry_test.go
@@ -186,7 +186,7 @@
 	for no := range byte(3) {
 		en.handlePacket([]byte{no}, 0, 1, time.Time{})
 	}
-	en.handleStoreUpdate(jpdirectory.Update{Revision: 2, Full: true, CurrentAt: time.Now(), Records: []jpdirectory.Record{
+	en.handleStoreUpdate(time.Now(), jpdirectory.Update{Revision: 2, Full: true, CurrentAt: time.Now(), Records: []jpdirectory.Record{
 		{
 			Key: jpdirectory.Key{Kind: jpdirectory.ManifestRecord}, Revision: 1,
 			Manifest: &jpdirectory.Manifest{
--- a/io/jpentry/freshness_test.go
+++ b/io/jpentry/freshness_test.go
@@ -41,7 +41,7 @@
 	en := newTestEntry(t, &registryStore{})
 	now := time.Now()
 	en.storeHealth = storeHealth{upSince: now.Add(-time.Hour), lastResponse: now.Add(-time.Minute)}
-	en.handleStoreUpdate(jpdirectory.Update{Revision: 7, CurrentAt: now})
+	en.handleStoreUpdate(now, jpdirectory.Update{Revision: 7, CurrentAt: now})
 	if uptime := time.Since(en.storeUpSince(time.Now())); uptime > time.Minute {
 		t.Errorf("the store counts as available for %v, last answer before that was a minute ago", uptime)
 	}
--- a/io/jpentry/log_test.go
+++ b/io/jpentry/log_test.go
@@ -117,7 +117,7 @@
 			jpdirectory.Record{Key: jpdirectory.Key{Kind: jpdirectory.ServerRecord, Name: server.ID}, Revision: uint64(2 + no), Server: server},
 			jpdirectory.Record{Key: jpdirectory.Key{Kind: jpdirectory.InstanceRecord, Name: instance.ID}, Revision: uint64(302 + no), Instance: instance})
 	}
-	en.handleStoreUpdate(up)
+	en.handleStoreUpdate(time.Now(), up)
 	en.tick(time.Now())
 	klog.Flush()
 	if lines := strings.Count(out.String(), "\n"); lines > 2*maxLinesPerUpdate {
--- a/io/jpentry/sync.go
+++ b/io/jpentry/sync.go
@@ -78,6 +78,7 @@
 			sleep(ctx, watcherCheckInterval)
 			continue
 		}
+		began := time.Now()
 		up, err := en.fetch(ctx, synced, read)
 		switch {
 		case ctx.Err() != nil:
@@ -93,7 +94,7 @@
 			synced = en.directoryKnown()
 		default:
 			synced, retryDelay = true, minRetryDelay
-			en.handleStoreUpdate(up)
+			en.handleStoreUpdate(began, up)
 			if len(up.Records) > 0 {
 				sleep(ctx, watchPause)
 			}
@@ -179,18 +180,28 @@
 	return slices.Contains(watchers(en.view.Members, en.settings.DataCentre, watchersPerDataCentre), en.settings.ID)
 }
 
-func (en *Entry) handleStoreUpdate(up jpdirectory.Update) {
+// handleStoreUpdate handles a response to a call that began at a time. If this process
+// was paused during the call, the response may have waited, and is as old as the call.
+func (en *Entry) handleStoreUpdate(began time.Time, up jpdirectory.Update) {
 	now := time.Now()
 	en.mu.Lock()
 	defer en.mu.Unlock()
+	en.observe(now)
+	respondedAt := now
+	if en.dispatcher.PausedAt().After(began) {
+		respondedAt = began
+	}
+	if up.CurrentAt.After(respondedAt) {
+		up.CurrentAt = respondedAt
+	}
 	if en.storeHealth.upSince.IsZero() {
 		klog.InfoS("store: reachable", "revision", up.Revision, "full", up.Full)
 		en.timeline.Add("store", "store_reachable", "", "")
 	}
-	if en.storeHealth.upSince.IsZero() || now.Sub(en.storeHealth.lastResponse) >= staleAfter {
-		en.storeHealth.upSince = now // nothing is known of the time since lastResponse
+	if en.storeHealth.upSince.IsZero() || respondedAt.Sub(en.storeHealth.lastResponse) >= staleAfter {
+		en.storeHealth.upSince = respondedAt // nothing is known of the time since lastResponse
 	}
-	en.storeHealth.lastResponse = now
+	en.storeHealth.lastResponse = respondedAt
 	en.applyUpdate(now, up, "store")
 }
 
