jpentry: others watch the store in time if the selected watchers can't

Cause: the duty went by membership alone, and the age at which others take it over did not depend on the limits that the platform states.

Change: the time limit of changes comes from the settings (the least of drainMs, configApplyMs and evacMs). Others take over when the directory is 2.5 to 3.5 s old, 1.5 s before the limit if it allows, in the order of their ranks, 50 ms apart: the first response spares the others the call. Their first watch returns at once. A watcher's responses are at most 2 s apart, also after the pause that follows changes, and its peers hear of each at the next tick.

TestWatchersAtStart is TestWatcherRank: one first rank of 39, the dead last.

--- a/core/jpdispatch/simpeer_test.go
+++ b/core/jpdispatch/simpeer_test.go
@@ -12,18 +12,19 @@
 const (
 	simStatusInterval = 500 * time.Millisecond
 	simStatusMaxAge   = 3 * simStatusInterval
-	simWatchWait      = 2 * time.Second
 	simWatchPause     = 800 * time.Millisecond
-	simStaleAfter     = simWatchWait + simStatusMaxAge
+	simStaleAfter     = jpdirectory.WatchWait + simStatusMaxAge
+	simChangeLimit    = 3 * time.Second
 	simConnectionLoss = 3 * time.Second // a connection that carries nothing ends by then
 )
 
 // simPeerState is what an instance knows of its peers and of the store's availability.
 type simPeerState struct {
 	limiter        *jpdirectory.RequestLimiter
+	duty           *jpdirectory.WatchDuty
 	statuses       map[*simInstance]simStatus
 	watching       bool
-	watchBegan     time.Time
+	watchUntil     time.Time // end of the running watch
 	nextWatch      time.Time
 	upSince        time.Time // zero while the store does not answer
 	lastResponse   time.Time
@@ -38,7 +39,8 @@
 
 func newSimPeerState(now time.Time) simPeerState {
 	return simPeerState{
-		limiter: jpdirectory.NewRequestLimiter(now), statuses: map[*simInstance]simStatus{}, nextWatch: now.Add(simWatchPause),
+		limiter: jpdirectory.NewRequestLimiter(now), duty: jpdirectory.NewWatchDuty(simChangeLimit),
+		statuses: map[*simInstance]simStatus{}, nextWatch: now.Add(simWatchPause),
 	}
 }
 
@@ -53,7 +55,7 @@
 		sm.sendStatus(in)
 	}
 	if !ps.watching && !sm.now.Before(ps.nextWatch) && sm.watches(in) {
-		ps.watching, ps.watchBegan = true, sm.now
+		ps.watching, ps.watchUntil = true, ps.duty.WaitUntil()
 	}
 	if ps.watching {
 		sm.watchStore(in)
@@ -78,8 +80,13 @@
 
 // watches reports whether an instance has to watch the store.
 func (sm *simulation) watches(in *simInstance) bool {
-	first := slices.IndexFunc(sm.instances, func(other *simInstance) bool { return other.centre == in.centre && sm.isUp(other) })
-	return sm.instances[first] == in || sm.now.Sub(in.directory.CurrentAt()) > simStaleAfter
+	rank := 0
+	for _, other := range sm.instances[:slices.Index(sm.instances, in)] {
+		if other.centre == in.centre && sm.isUp(other) {
+			rank++
+		}
+	}
+	return !sm.now.Before(in.peers.duty.DueAt(in.directory.CurrentAt(), rank))
 }
 
 // watchStore ends an instance's watch if the store answers, or fails.
@@ -90,7 +97,7 @@
 		ps.limiter.StoreReadFailed()
 		return
 	}
-	if in.directory.Revision() == sm.revision && sm.now.Sub(ps.watchBegan) < simWatchWait {
+	if in.directory.Revision() == sm.revision && sm.now.Before(ps.watchUntil) {
 		return
 	}
 	up := sm.store.Since(in.directory.Revision())
@@ -98,7 +105,8 @@
 	if ps.upSince.IsZero() || sm.now.Sub(ps.lastResponse) >= simStaleAfter {
 		ps.upSince = sm.now
 	}
-	ps.watching, ps.nextWatch, ps.lastResponse = false, sm.now, sm.now
+	ps.watching, ps.nextWatch, ps.lastResponse, ps.nextStatus = false, sm.now, sm.now, sm.now
+	ps.duty.Responded(sm.now)
 	if len(up.Records) > 0 {
 		ps.nextWatch = sm.now.Add(simWatchPause)
 	}
--- a/core/jprollout/rollout.go
+++ b/core/jprollout/rollout.go
@@ -90,12 +90,17 @@
 	return selectWatchers(members, dc, count, jpmember.Alive)
 }
 
-// WatchersAtStart is like Watchers, but also selects instances that are listed and
-// have not been heard of yet. While many instances start together, each knows few
-// live ones and would select itself. A selected instance may be dead, so that the
-// caller has to watch the store itself if it hears of no changes.
-func WatchersAtStart(members []jpmember.Member, dc string, count int) []string {
-	return selectWatchers(members, dc, count, jpmember.Alive, jpmember.Unknown)
+// WatcherRank returns the position of an instance among those of a data centre with one of
+// the states, in the order in which they are selected to watch the store, from 0. An
+// instance that is not among them comes last. Instances that have not been heard of may be
+// dead, and others unable to reach the store, so that the next ones have to watch it if
+// they hear of no changes.
+func WatcherRank(members []jpmember.Member, dc, id string, states ...jpmember.State) int {
+	ids := selectWatchers(members, dc, len(members), states...)
+	if rank := slices.Index(ids, id); rank >= 0 {
+		return rank
+	}
+	return max(len(ids), 1)
 }
 
 func selectWatchers(members []jpmember.Member, dc string, count int, states ...jpmember.State) []string {
--- a/core/jprollout/rollout_test.go
+++ b/core/jprollout/rollout_test.go
@@ -76,10 +76,10 @@
 	}
 }
 
-// TestWatchersAtStart guards against instances that all watch the store because they
+// TestWatcherRank guards against instances that all watch the store because they
 // start together and have not heard of each other: 39 of a data centre made 36
 // calls at once instead of 1.
-func TestWatchersAtStart(t *testing.T) {
+func TestWatcherRank(t *testing.T) {
 	var members []jpmember.Member
 	for no := range 39 {
 		members = append(members, jpmember.Member{ID: fmt.Sprint("i", no), DataCentre: "hobart"})
@@ -87,7 +87,7 @@
 	watchers := 0
 	for no := range members {
 		members[no].State = jpmember.Alive // in its own view
-		if slices.Contains(WatchersAtStart(members, "hobart", 1), members[no].ID) {
+		if WatcherRank(members, "hobart", members[no].ID, jpmember.Alive, jpmember.Unknown) == 0 {
 			watchers++
 		}
 		members[no].State = jpmember.Unknown
@@ -96,8 +96,21 @@
 		t.Errorf("%d instances watch the store, want 1", watchers)
 	}
 	members[0].State = jpmember.Dead
-	if slices.Contains(WatchersAtStart(members, "hobart", 39), "i0") {
-		t.Error("an instance that is dead is selected")
+	if rank := WatcherRank(members, "hobart", "i0", jpmember.Alive, jpmember.Unknown); rank != 38 {
+		t.Errorf("an instance that is dead has rank %d, want 38, the last", rank)
+	}
+	if rank := WatcherRank(nil, "hobart", "i0", jpmember.Alive); rank != 1 {
+		t.Errorf("an instance that is not listed has rank %d, want 1", rank)
+	}
+	ranks := map[int]bool{}
+	for no := range members {
+		members[no].State = jpmember.Alive
+	}
+	for no := range members {
+		ranks[WatcherRank(members, "hobart", members[no].ID, jpmember.Alive)] = true
+	}
+	if len(ranks) != len(members) {
+		t.Errorf("%d ranks of %d instances", len(ranks), len(members))
 	}
 }
 
--- a/io/jpentry/entry.go
+++ b/io/jpentry/entry.go
@@ -73,6 +73,7 @@
 	nextStatus     time.Time // when the next status is due
 	statusRevision uint64    // revision in the last status sent to peers
 	requestLimiter *jpdirectory.RequestLimiter
+	watchDuty      *jpdirectory.WatchDuty
 	held           jpdispatch.HoldQueue[heldPacket] // packets received before the directory had a manifest
 }
 
@@ -139,6 +140,7 @@
 		dispatcher:       jpdispatch.New(settings.DataCentre),
 		directory:        jpdirectory.New(),
 		requestLimiter:   jpdirectory.NewRequestLimiter(now),
+		watchDuty:        jpdirectory.NewWatchDuty(settings.ChangeLimit),
 		statuses:         map[string]peerStatus{},
 		manifestKnown:    make(chan struct{}),
 	}
--- a/io/jpentry/settings.go
+++ b/io/jpentry/settings.go
@@ -27,6 +27,7 @@
 	Store       netip.AddrPort
 	StopTimeout time.Duration // from the termination signal to the forced kill
 	MinLeaseTTL time.Duration // shortest lease that the store grants
+	ChangeLimit time.Duration // from a change's acknowledgement by the store until it has to be in force, 0 if not stated
 }
 
 // Errors of a Store.
--- a/io/jpentry/sync.go
+++ b/io/jpentry/sync.go
@@ -4,40 +4,33 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
 
 	"jacinthpass/core/jpdirectory"
+	"jacinthpass/core/jpmember"
 	"jacinthpass/core/jprollout"
 )
 
 const (
-	// watchWait is how long a watch waits for a change. A longer wait would need
-	// fewer calls, each of which incurs a cost, but only the end of a watch shows
-	// that the store is still reachable.
-	watchWait = 2 * time.Second
-
 	// watchPause is the delay between a watch that returned changes and the next
 	// one, so that a burst of changes is read in one call. Changes have to take
 	// effect within 3 s, of which their distribution to peers takes up to 1 s.
 	watchPause = 800 * time.Millisecond
 
-	// watchersPerDataCentre is the number of instances of a data centre that
-	// watch the store. One is enough: if it fails, watchers of other data centres
-	// supply the changes through the peers, and in a partitioned data centre
-	// another instance starts to watch 1.5 s after the watcher's last heartbeat.
-	watchersPerDataCentre = 1
-
 	// watcherCheckInterval is how often an instance that does not watch the store
-	// checks whether it has to.
+	// checks at least whether it has to.
 	watcherCheckInterval = 250 * time.Millisecond
 
-	// staleAfter is the age of the directory above which any instance watches
-	// the store itself: the wait of the watcher's call plus the time for which a
-	// peer's status is used.
-	staleAfter = watchWait + statusMaxAge
+	// minWatchWait is the shortest wait of a watch, which the store takes in whole
+	// milliseconds.
+	minWatchWait = time.Millisecond
+
+	// staleAfter is the age above which what is known of the store's availability
+	// does not count: the wait of a watch plus the time for which a peer's status is
+	// used.
+	staleAfter = jpdirectory.WatchWait + statusMaxAge
 
 	// startGracePeriod is the time after the start in which an instance does not
 	// select itself as a watcher, because it may not have heard from its peers
@@ -74,8 +67,8 @@
 	synced := false
 	read := newFullRead(time.Now())
 	for ctx.Err() == nil {
-		if synced && !en.shouldWatchStore(time.Now()) {
-			sleep(ctx, watcherCheckInterval)
+		if wait := en.timeToWatch(time.Now()); synced && wait > 0 {
+			sleep(ctx, min(wait, watcherCheckInterval))
 			continue
 		}
 		began := time.Now()
@@ -111,10 +104,11 @@
 	}
 	en.mu.Lock()
 	revision := en.directory.Revision()
+	wait := max(time.Until(en.watchDuty.WaitUntil()), minWatchWait)
 	en.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, callTimeout+watchWait)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout+wait)
 	defer cancel()
-	return store.Watch(ctx, revision, watchWait)
+	return store.Watch(ctx, revision, wait)
 }
 
 // fullRead is the state of a complete read of the store. After a failure it
@@ -162,22 +156,21 @@
 	return en.directory.Populated()
 }
 
-// shouldWatchStore reports whether this instance has to watch the store: it is one of
-// its data centre's watchers, or its directory is stale.
-func (en *Entry) shouldWatchStore(now time.Time) bool {
+// timeToWatch returns the time until this instance has to watch the store, at most 0 if
+// it has to now.
+func (en *Entry) timeToWatch(now time.Time) time.Duration {
 	en.mu.Lock()
 	defer en.mu.Unlock()
-	if now.Sub(en.directory.CurrentAt()) > staleAfter {
-		return true
+	states := []jpmember.State{jpmember.Alive}
+	if now.Sub(en.started) < startPhase {
+		// While many instances start together, each has heard of few others.
+		states = append(states, jpmember.Unknown)
 	}
+	rank := jprollout.WatcherRank(en.view.Members, en.settings.DataCentre, en.settings.ID, states...)
 	if now.Before(en.watchFrom) {
-		return false
-	}
-	watchers := jprollout.Watchers
-	if now.Sub(en.started) < startPhase {
-		watchers = jprollout.WatchersAtStart
+		rank = max(rank, 1)
 	}
-	return slices.Contains(watchers(en.view.Members, en.settings.DataCentre, watchersPerDataCentre), en.settings.ID)
+	return en.watchDuty.DueAt(en.directory.CurrentAt(), rank).Sub(now)
 }
 
 // handleStoreUpdate handles a response to a call that began at a time. If this process
@@ -202,6 +195,8 @@
 		en.storeHealth.upSince = respondedAt // nothing is known of the time since lastResponse
 	}
 	en.storeHealth.lastResponse = respondedAt
+	en.watchDuty.Responded(respondedAt)
+	en.nextStatus = now // the peers' directories are current again as soon as they hear of it
 	en.applyUpdate(now, up, "store")
 }
 
--- a/lab/jpplatform/site.go
+++ b/lab/jpplatform/site.go
@@ -281,7 +281,7 @@
 		"ip": in.Address.String(), "zone": in.Zone, "hashFn": "mod", "forwardMode": "echo", "nodeName": in.Address.String(),
 		"listen":        map[string]string{"dataAddr": address(trafficPort), "ready": address(readyPort), "control": address(controlPort)},
 		"internalPorts": []int{firstInternalPort, lastInternalPort}, "seeds": seeds,
-		"parameters": map[string]any{"graceS": 6},
+		"parameters": map[string]any{"graceS": 6, "drainMs": 3000, "configApplyMs": 3000, "evacMs": 5000},
 		"platform":   map[string]any{"address": in.StoreProxy.Address.String(), "forwardMode": "kv", "ttlMinMs": 1000},
 	})
 	if err != nil {
