--- a/io/jpentry/settings.go
+++ b/io/jpentry/settings.go
@@ -32,7 +32,7 @@
 
 // Errors of a Store.
 var (
-	ErrHistoryGone  = errors.New("store: the changes after this revision are no longer available")
+	ErrHistoryGone  = errors.New("store: the changes after this revision are not available")
 	ErrLeaseExpired = errors.New("store: the lease has expired")
 )
 
--- a/io/jpentry/sync.go
+++ b/io/jpentry/sync.go
@@ -77,7 +77,7 @@
 		case ctx.Err() != nil:
 			return
 		case errors.Is(err, ErrHistoryGone):
-			klog.InfoS("store: history is gone, reading everything")
+			klog.InfoS("store: reading everything", "err", err)
 			synced, read = false, newFullRead(time.Now())
 		case err != nil:
 			en.handleStoreError(err)
--- a/test/platform_test.go
+++ b/test/platform_test.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -227,6 +228,33 @@
 	openFlows(t, si, jpplatform.BrochureRoute, 9)
 }
 
+// Guards against instances that learn of no change any more, because a burst of changes
+// of a large manifest makes the store's response to a watch too large.
+func TestPlatformBurstOfLargeChanges(t *testing.T) {
+	si := startPlatform(t)
+	dropped := netip.MustParseAddrPort("198.18.0.9:8443")
+	routes := jpplatform.StandardRoutes()
+	for ix := range 5000 {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 19, byte(ix >> 8), byte(ix)}), 443)
+		routes = append(routes, jpplatform.Route{Address: address, Kind: "safe", Backend: "catalogue"})
+	}
+	with := append(slices.Clone(routes), jpplatform.Route{Address: dropped, Kind: "safe", Backend: "catalogue"})
+	si.SetRoutes(with...)
+	time.Sleep(platformChangeBound)
+	openFlows(t, si, dropped, 3)
+	for range 24 {
+		si.SetRoutes(with...)
+		time.Sleep(80 * time.Millisecond)
+	}
+	si.SetRoutes(routes...)
+	time.Sleep(platformChangeBound)
+	for range 9 {
+		if _, err := si.Callers.Open(dropped); !errors.Is(err, jpplatform.ErrReset) {
+			t.Errorf("flow to a removed route: %v, want a reset", err)
+		}
+	}
+}
+
 // Guards against new flows that fail because a server has crashed, against open flows
 // of a crashed server that are not reset, and against requests that are executed twice.
 func TestPlatformServerFails(t *testing.T) {
