jpdirectory: an instance whose store calls fail asks other data centres at once

Change: no such delay while this instance's own calls of the store fail. Others keep it, so a change still crosses a border between data centres as seldom as before. Test: a row of TestRequestLimiter failed before.

--- a/core/jpdirectory/requests.go
+++ b/core/jpdirectory/requests.go
@@ -29,6 +29,7 @@
 // its directory lacks.
 type RequestLimiter struct {
 	storeReadUntil time.Time // end of the time reserved for the first read of the store
+	storeFailing   bool      // the latest call of the store by this instance has failed
 	nextAt         time.Time
 	behindAt       uint64    // revision of the directory when a peer first reported a higher one
 	remoteFrom     time.Time // from then on, peers in other data centres may be asked
@@ -42,7 +43,13 @@
 
 // StoreReadFailed records that a read of the store has failed, so that peers may be
 // asked at once.
-func (rl *RequestLimiter) StoreReadFailed() { rl.storeReadUntil = time.Time{} }
+func (rl *RequestLimiter) StoreReadFailed() {
+	rl.storeReadUntil = time.Time{}
+	rl.storeFailing = true
+}
+
+// StoreResponded records that the store has responded to this instance.
+func (rl *RequestLimiter) StoreResponded() { rl.storeFailing = false }
 
 // Allow reports whether to send a request now to a peer whose directory has the
 // revision reported, and counts the request if so. known is the revision of this
@@ -55,8 +62,9 @@
 	if rl.remoteFrom.IsZero() || rl.behindAt != known {
 		rl.behindAt, rl.remoteFrom = known, now.Add(remoteDelay)
 	}
-	// An instance that knows nothing and can't read the store takes any help.
-	urgent := known == 0 && rl.storeReadUntil.IsZero()
+	// An instance whose own calls of the store fail takes any help: it would be the one
+	// to supply its data centre.
+	urgent := rl.storeFailing
 	if now.Before(rl.nextAt) || known == 0 && now.Before(rl.storeReadUntil) || !local && !urgent && now.Before(rl.remoteFrom) {
 		return false
 	}
--- a/core/jpdirectory/requests_test.go
+++ b/core/jpdirectory/requests_test.go
@@ -11,6 +11,7 @@
 	type step struct {
 		at              time.Duration
 		failed          bool // the read of the store has just failed
+		responded       bool // the store has just responded
 		known, reported uint64
 		remote          bool // the peer is in another data centre
 		want            bool
@@ -35,6 +36,10 @@
 			{at: 0, reported: 6},
 			{at: 10 * time.Millisecond, failed: true, reported: 6, remote: true, want: true},
 		}},
+		{"another data centre, while the store does not respond", []step{
+			{at: 0, failed: true, known: 5, reported: 6, remote: true, want: true},
+			{at: 400 * time.Millisecond, responded: true, known: 6, reported: 7, remote: true},
+		}},
 		{"another data centre, while peers of this one help", []step{
 			{at: 0, known: 5, reported: 6, remote: true},
 			{at: 400 * time.Millisecond, known: 5, reported: 7, remote: true},
@@ -54,6 +59,9 @@
 			if st.failed {
 				rl.StoreReadFailed()
 			}
+			if st.responded {
+				rl.StoreResponded()
+			}
 			if got := rl.Allow(start.Add(st.at), st.known, st.reported, !st.remote); got != st.want {
 				t.Errorf("%s: request after %v: %t, want %t", row.name, st.at, got, st.want)
 			}
--- a/io/jpentry/sync.go
+++ b/io/jpentry/sync.go
@@ -196,6 +196,7 @@
 	}
 	en.storeHealth.lastResponse = respondedAt
 	en.watchDuty.Responded(respondedAt)
+	en.requestLimiter.StoreResponded()
 	en.nextStatus = now // the peers' directories are current again as soon as they hear of it
 	en.applyUpdate(now, up, "store")
 }
