jpdispatch: a version older than the flow does not end it

Callers could see open flows reset ("route_removed") by an instance that is two versions behind, if one drops their route and the next one has it again: the flow is opened with the latter, and the instance learns of the former only.

Cause: a flow in the table counted as older than any version that arrives later. Change: the reset is immediate only if the directory was current after the flow's first packet. Otherwise it waits for a directory of 1 s after the packet, as for other flows.

--- a/core/jpdispatch/handle.go
+++ b/core/jpdispatch/handle.go
@@ -41,18 +41,19 @@
 
 // handleMissingRoute handles a packet other than a SYN to an address without a
 // route. It resets the flow only if the directory is up to date and the route was
-// removed: the flow came here before that, or a later directory has none either.
+// removed: the directory is newer than the flow, or one of later than its packet has
+// no route either.
 func (ds *Dispatcher) handleMissingRoute(now time.Time, key FlowKey, fl *flow, pk Packet) Decision {
 	rs := resetOf(pk, NoRoute)
-	removed := false
+	removed := fl != nil && !ds.currentAt.Before(fl.firstSeenAt) || ds.routeAbsent(now, key)
 	if fl != nil {
-		rs.Reason, removed = RouteRemoved, true
+		rs.Reason = RouteRemoved
 		if fl.server != nil {
 			rs.Server, rs.Evidence = fl.server.cfg.ID, ds.evidence(fl)
 		}
+	}
+	if fl != nil && removed {
 		ds.removeFlow(key, fl)
-	} else {
-		removed = ds.routeAbsent(now, key)
 	}
 	if pk.Flags&RST != 0 || !removed || now.Sub(ds.currentAt) > maxDirectoryAge {
 		return Decision{Reason: rs.Reason}
--- a/core/jpdispatch/openflow_test.go
+++ b/core/jpdispatch/openflow_test.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"testing"
 	"time"
+
+	"jacinthpass/core/jpdirectory"
 )
 
 // Guards against an open flow that is reset because its server's entry expired 4 s
@@ -68,6 +70,32 @@
 	}
 }
 
+// Guards against an open flow that is reset because its instance is two versions behind:
+// one drops the route, the next one, with which the flow was opened, has it again.
+func TestFlowOfRouteThatIsBack(t *testing.T) {
+	with := jpdirectory.Route{Address: route, Targets: []jpdirectory.Target{{Service: "desk", Weight: 1}}}
+	rows := []struct {
+		name      string
+		currentAt int // of the directory with the version without the route, ms
+		outcome   Outcome
+	}{
+		{"directory older than the flow", 900, Drop},
+		{"directory newer than the flow", 1100, Reset},
+	}
+	for _, row := range rows {
+		hn := newHarness(t, deskServer(1, localDC))
+		syn, sr := hn.open(at(1000))
+		hn.manifest(2)
+		hn.setFresh(at(row.currentAt))
+		hn.wantDecision(hn.Handle(at(1200), nextPacket(syn, sr.Tag, 100)), row.outcome, RouteRemoved)
+		hn.manifest(3, with)
+		hn.setFresh(at(1300))
+		if dc := hn.Handle(at(1400), nextPacket(syn, sr.Tag, 100)); dc.Outcome != Forward {
+			t.Errorf("%s: route back: outcome %d for %v, want the packet forwarded", row.name, dc.Outcome, dc.Reason)
+		}
+	}
+}
+
 // Guards against packets of a flow that are sent to the server of an earlier flow
 // from the same port, or answered with a reset, because the SYN took another way.
 func TestPortReusedElsewhere(t *testing.T) {
