--- a/core/jpdispatch/pause_test.go
+++ b/core/jpdispatch/pause_test.go
@@ -78,12 +78,15 @@
 	for _, row := range rows {
 		ds := New(localDC)
 		ds.Observe(at(0), at(0))
-		hidden := ds.Observe(at(row.ms), at(row.dayMs))
-		if paused := !ds.PausedAt().IsZero(); paused != row.paused || hidden > 0 != row.hidden {
-			t.Errorf("%s: paused %t, hidden %v; want %t, %t", row.name, paused, hidden, row.paused, row.hidden)
+		var want Pause
+		if row.hidden {
+			want.Hidden = time.Duration(row.dayMs-row.ms) * time.Millisecond
 		}
-		if row.hidden && hidden != time.Duration(row.dayMs-row.ms)*time.Millisecond {
-			t.Errorf("%s: hidden %v, want the difference of the clocks", row.name, hidden)
+		if row.paused {
+			want.Length = time.Duration(row.ms)*time.Millisecond + want.Hidden
+		}
+		if pause := ds.Observe(at(row.ms), at(row.dayMs)); pause != want || ds.PausedAt().IsZero() == row.paused {
+			t.Errorf("%s: pause %+v, noted at %v; want %+v", row.name, pause, ds.PausedAt(), want)
 		}
 	}
 }
--- a/core/jpdispatch/tick.go
+++ b/core/jpdispatch/tick.go
@@ -50,30 +50,37 @@
 	return resets
 }
 
+// Pause is a time in which this process did not run, both durations 0 if there was none.
+type Pause struct {
+	Length time.Duration
+	Hidden time.Duration // the part that the steady clock has not counted
+}
+
 // Observe notes a pause of this process if the latest call was too long ago. It must be
 // called before anything that came from outside is handled, because whichever goroutine
 // runs first after a pause must not draw conclusions from what has waited, and ten times
 // a second besides.
 //
 // A suspended machine's steady clock, by which now is compared, does not count the
-// suspension; the time of day does. Observe returns the time by which the time of day has
-// advanced more, if that is a pause too, and 0 otherwise. The time of day may also have
-// been set; that counts as a pause.
-func (ds *Dispatcher) Observe(now, timeOfDay time.Time) (hidden time.Duration) {
+// suspension; the time of day does. If that was set forward instead, it counts as a pause
+// too.
+func (ds *Dispatcher) Observe(now, timeOfDay time.Time) Pause {
+	var pause Pause
 	if !ds.observedAt.IsZero() {
-		elapsed := max(now.Sub(ds.observedAt), 0)
-		hidden = timeOfDay.Round(0).Sub(ds.observedDay) - elapsed
-		if hidden <= pauseThreshold {
-			hidden = 0
-		}
-		if elapsed+hidden > pauseThreshold {
-			ds.NotePause(now)
+		pause.Length = max(now.Sub(ds.observedAt), 0)
+		if hidden := timeOfDay.Round(0).Sub(ds.observedDay) - pause.Length; hidden > pauseThreshold {
+			pause.Hidden = hidden
+			pause.Length += hidden
 		}
 	}
 	if now.After(ds.observedAt) {
 		ds.observedAt, ds.observedDay = now, timeOfDay.Round(0)
 	}
-	return hidden
+	if pause.Length <= pauseThreshold {
+		return Pause{}
+	}
+	ds.NotePause(now)
+	return pause
 }
 
 // PausedAt returns when the latest pause of this process was noted, zero if none was.
--- a/io/jpentry/control.go
+++ b/io/jpentry/control.go
@@ -279,8 +279,15 @@
 // observe notes a pause of this process, see jpdispatch.Dispatcher.Observe. Ages grow by
 // the part of it that the steady clock has not counted. The caller holds mu.
 func (en *Entry) observe(now time.Time) {
-	if hidden := en.dispatcher.Observe(now, now); hidden > 0 {
-		en.addUncounted(hidden)
+	pause := en.dispatcher.Observe(now, now)
+	if pause.Length == 0 {
+		return
+	}
+	klog.InfoS("entry: paused", "ms", pause.Length.Milliseconds(), "hidden_ms", pause.Hidden.Milliseconds(),
+		"revision", en.directory.Revision())
+	en.timeline.Add("entry", "instance_paused", en.settings.ID, pause.Length.String())
+	if pause.Hidden > 0 {
+		en.addUncounted(pause.Hidden)
 	}
 }
 
