jpdispatch: only an entry that overwrites another one is held

A server that drains, leaves and starts again under its id got no new flows for 3 s since, because its new entry contradicts the old one. That can be false only if the old entry was there just before. Test: TestRestartAfterDrainGetsFlows failed before.

--- a/core/jpdispatch/dispatcher.go
+++ b/core/jpdispatch/dispatcher.go
@@ -207,7 +207,7 @@
 	case cfg.WarmAt.After(sr.cfg.WarmAt):
 		sr.turnCold(now)
 	}
-	if previous != nil && contradicts(*cfg, previous.cfg) {
+	if previous != nil && previous.listedWithin(now, contradictionHold) && contradicts(*cfg, previous.cfg) {
 		sr.heldUntil = now.Add(contradictionHold)
 	}
 	reassign = reassign || sr != previous || !sr.present || sr.cfg.Service != cfg.Service || sr.cfg.DataCentre != cfg.DataCentre
--- a/core/jpdispatch/server.go
+++ b/core/jpdispatch/server.go
@@ -144,6 +144,12 @@
 	sr.lastListedAt = currentAt
 }
 
+// listedWithin reports whether the directory has contained the server's entry within a
+// time before now.
+func (sr *server) listedWithin(now time.Time, age time.Duration) bool {
+	return sr.present || now.Sub(sr.leftAt) < age
+}
+
 // describedBy reports whether an entry describes this server process. A start that is
 // not known matches any, because another writer may leave it out.
 func (sr *server) describedBy(cfg jpdirectory.Server) bool {
--- a/core/jpdispatch/writers_test.go
+++ b/core/jpdispatch/writers_test.go
@@ -166,3 +166,17 @@
 		}
 	}
 }
+
+// Guards against a server that gets no flows for seconds after it has left and started
+// again under its id: only an entry that overwrites another one can be false.
+func TestRestartAfterDrainGetsFlows(t *testing.T) {
+	draining := deskServer(1, localDC)
+	draining.Draining = true
+	hn := newHarness(t, draining)
+	hn.remove(at(0), draining.ID)
+	next := deskServer(1, localDC)
+	next.Started = at(3900)
+	hn.server(at(4000), next)
+	hn.setFresh(at(4000))
+	hn.wantDecision(hn.Handle(at(4100), hn.newSYN()), Forward, Placed)
+}
--- a/lab/jpplatform/site.go
+++ b/lab/jpplatform/site.go
@@ -160,7 +160,13 @@
 }
 
 // PutEntry writes the entry of a server, as real servers do themselves.
-func (si *Site) PutEntry(sr *Server) { si.Store.Put(serverKey(sr.ID), sr.Entry) }
+func (si *Site) PutEntry(sr *Server) { si.PutForeignEntry(sr.ID, sr.Entry) }
+
+// PutForeignEntry writes an entry as another writer may do.
+func (si *Site) PutForeignEntry(id string, entry ServerEntry) { si.Store.Put(serverKey(id), entry) }
+
+// RemoveForeignEntry removes an entry that its writer no longer renews.
+func (si *Site) RemoveForeignEntry(id string) { si.Store.Remove(serverKey(id)) }
 
 // PutDraining sets the state in the entry of a server to draining.
 func (si *Site) PutDraining(sr *Server) {
@@ -170,7 +176,7 @@
 }
 
 // RemoveEntry removes the entry of a server.
-func (si *Site) RemoveEntry(sr *Server) { si.Store.Remove(serverKey(sr.ID)) }
+func (si *Site) RemoveEntry(sr *Server) { si.RemoveForeignEntry(sr.ID) }
 
 // PutMalformed writes data that is not a valid entry as the entry of a server.
 func (si *Site) PutMalformed(id, data string) { si.Store.PutRaw(serverKey(id), []byte(data)) }
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -98,8 +98,10 @@
 		defer close(rotation)
 		so.updateRotation()
 	}()
+	writer := rand.New(rand.NewPCG(seed, 1))
 	for end := now.Add(soakFaultDuration); time.Now().Before(end); {
 		so.injectFault()
+		so.writeForeignEntry(writer)
 		time.Sleep(time.Duration(200+so.rng.IntN(700)) * time.Millisecond)
 	}
 	so.faults.Wait()
@@ -321,6 +323,45 @@
 	})
 }
 
+// writeForeignEntry does what another writer of the store may do: it overwrites the entry
+// of a server, which writes it again within a heartbeat, or adds one that names the
+// server's address and expires. It draws from rng, so that the faults of a seed stay.
+func (so *soakRun) writeForeignEntry(rng *rand.Rand) {
+	so.mu.Lock()
+	defer so.mu.Unlock()
+	sr := so.activeServers[rng.IntN(len(so.activeServers))]
+	entry := sr.Entry
+	switch rng.IntN(6) {
+	case 0:
+		so.si.PutMalformed(sr.ID, `{"address":`)
+	case 1:
+		so.si.PutMalformed(sr.ID, fmt.Sprintf(`{"backend":%q,"address":%q,"zone":%q,"state":"ready"}`, entry.Backend, entry.Address, entry.Zone))
+	case 2:
+		entry.Born = 1_700_000_000_000 + rng.Int64N(1_000_000)
+		so.si.PutForeignEntry(sr.ID, entry)
+	case 3:
+		entry.Backend = map[string]string{"desk": "catalogue", "catalogue": "desk"}[entry.Backend]
+		so.si.PutForeignEntry(sr.ID, entry)
+	default:
+		id := fmt.Sprintf("i-%08x", 0xf0000000+rng.Uint32N(1<<20))
+		so.si.PutForeignEntry(id, entry)
+		so.faults.Go(func() {
+			time.Sleep(2300 * time.Millisecond)
+			so.si.RemoveForeignEntry(id)
+		})
+		return
+	}
+	wait := time.Duration(100+rng.IntN(670)) * time.Millisecond
+	so.faults.Go(func() {
+		time.Sleep(wait)
+		so.mu.Lock()
+		defer so.mu.Unlock()
+		if slices.Contains(so.activeServers, sr) {
+			so.si.PutEntry(sr)
+		}
+	})
+}
+
 func (so *soakRun) randomServer() *jpplatform.Server {
 	so.mu.Lock()
 	defer so.mu.Unlock()
