jpdirectory: a removal does not take the manifest out of force

No instance would be ready any more, and the next version ended the process (it closed a channel twice). A row of TestApplyKeepsLatest failed before (nil manifest).

--- a/core/jpdirectory/directory.go
+++ b/core/jpdirectory/directory.go
@@ -85,7 +85,8 @@
 	if ok && rc.Revision <= known.Revision {
 		return false
 	}
-	if lowersVersion(rc.Manifest, known.Manifest) {
+	// A manifest is replaced but never removed.
+	if lowersVersion(rc.Manifest, known.Manifest) || rc.Key.Kind == ManifestRecord && rc.Removed() {
 		return false
 	}
 	if !ok && rc.Removed() && rc.Revision <= dr.purgedRevision {
@@ -109,7 +110,6 @@
 func (dr *Directory) removeMissing(now time.Time, revision uint64, contained map[Key]bool) []Record {
 	var changed []Record
 	for key, known := range dr.records {
-		// A manifest is replaced but never removed.
 		if contained[key] || known.Removed() || known.Revision > revision || key.Kind == ManifestRecord {
 			continue
 		}
--- a/core/jpdirectory/directory_test.go
+++ b/core/jpdirectory/directory_test.go
@@ -62,6 +62,10 @@
 			{Revision: 9, Records: []Record{server("i-1", 9), manifest(3, 5)}},
 			{Revision: 8, Full: true},
 		}, []string{"i-1"}, 3},
+		{"manifest that is removed", []Update{
+			{Revision: 5, Records: []Record{manifest(9, 5)}},
+			{Revision: 6, Records: []Record{{Key: Key{Kind: ManifestRecord}, Revision: 6}}},
+		}, nil, 9},
 		{"manifest of a lower version at a higher revision", []Update{
 			{Revision: 5, Records: []Record{manifest(9, 5)}},
 			{Revision: 6, Records: []Record{manifest(8, 6)}},
