--- a/core/jpdispatch/harness_test.go
+++ b/core/jpdispatch/harness_test.go
@@ -46,6 +46,7 @@
 func (hn *harness) runTicks(from, to time.Time) []ResetPacket {
 	var resets []ResetPacket
 	for now := from; !now.After(to); now = now.Add(100 * time.Millisecond) {
+		hn.Observe(now, now)
 		resets = append(resets, hn.Tick(now)...)
 	}
 	return resets
--- a/core/jpdispatch/sim_test.go
+++ b/core/jpdispatch/sim_test.go
@@ -320,6 +320,7 @@
 
 // tickInstance does the periodic work of an instance.
 func (sm *simulation) tickInstance(in *simInstance) {
+	in.Observe(sm.now, sm.now)
 	for _, rs := range in.Tick(sm.now) {
 		for _, fl := range sm.flows {
 			if fl.packet.Caller == rs.Caller && fl.packet.Route == rs.Route && (!sm.play.ports || accepts(fl, rs)) {
