jpdispatch: of several servers at an address, the one that answers has it

Cause: let the first server that names an address keep it while its entry exists. Servers that crashed in an outage of the store came back to it afterwards and stayed, so their successors at the same addresses got no flows. Checks find a host there.

Change: the one that answers callers has the address, by default the one that came last. A server that accepts a flow whose SYN this instance sent to it shows that the others have ended; their flows are reset at once. Another writer can't bring that about.

--- a/core/jpdispatch/dispatcher.go
+++ b/core/jpdispatch/dispatcher.go
@@ -59,12 +59,12 @@
 	idleTimeout    time.Duration
 	routes         map[netip.AddrPort]*jpdirectory.Route
 	services       map[string]*service
-	servers        map[string]*server   // by id
-	former         map[string][]*server // earlier processes of servers by id, latest last
-	arrivals       uint64               // servers that have come so far
-	serversByTag   map[uint32]*server   // includes servers that left the directory
-	addressOwners  map[netip.AddrPort]*server
-	dataCentresOut map[string]bool // by name of the data centre
+	servers        map[string]*server         // by id
+	former         map[string][]*server       // earlier processes of servers by id, latest last
+	arrivals       uint64                     // servers that have come so far
+	serversByTag   map[uint32]*server         // includes servers that left the directory
+	addressOwners  map[netip.AddrPort]*server // see assignAddresses
+	dataCentresOut map[string]bool            // by name of the data centre
 	flows          *jpflow.Table[FlowKey, flow]
 	cutEvidence    map[string]cutEvidence // by data centre
 	unknownTags    map[uint32]time.Time   // first packet with the tag, by tag
@@ -201,7 +201,7 @@
 	case sr == nil:
 		sr = newServer(*cfg)
 		ds.arrivals++
-		sr.arrival = ds.arrivals
+		sr.arrival, sr.arrivedAt = ds.arrivals, now
 		sr.turnCold(now)
 		reassign = true
 	case cfg.WarmAt.After(sr.cfg.WarmAt):
@@ -290,19 +290,67 @@
 	}
 }
 
-// assignAddresses finds the owner of each address: of several present servers that name
-// it, the one that came first. An address is used again only after its server has
-// ended, so the others are false, or the entry of the first one is about to expire.
+// assignAddresses finds the owner of each address. Of several present servers that name
+// it, one may have ended without its entry having been removed, or have been named by
+// another writer: the owner is the one that answers, and by default the one that came last.
 func (ds *Dispatcher) assignAddresses() {
 	clear(ds.addressOwners)
+	for _, sr := range ds.servers {
+		sr.contested = false
+	}
 	for _, sr := range ds.servers {
 		if !sr.present || ds.services[sr.cfg.Service] == nil {
 			continue
 		}
-		if owner := ds.addressOwners[sr.cfg.Address]; owner == nil || sr.arrival < owner.arrival {
+		owner := ds.addressOwners[sr.cfg.Address]
+		if owner == nil || sr.ownsBefore(owner) {
 			ds.addressOwners[sr.cfg.Address] = sr
 		}
+		if owner != nil && !owner.replaced && !sr.replaced {
+			owner.contested, sr.contested = true, true
+		}
+	}
+}
+
+// ownsBefore reports whether a server owns the address that it shares with another one.
+func (sr *server) ownsBefore(other *server) bool {
+	answers, otherAnswers := sr.answeredAt.After(other.arrivedAt), other.answeredAt.After(sr.arrivedAt)
+	switch {
+	case sr.replaced != other.replaced:
+		return other.replaced
+	case answers != otherAnswers:
+		return answers
+	}
+	return sr.arrival > other.arrival
+}
+
+// noteAnswered records that a caller's packet shows an answer of the server. It may be
+// older than it looks if the flow's earlier packets came to other instances.
+func (ds *Dispatcher) noteAnswered(now time.Time, sr *server) {
+	ds.noteAlive(now, sr)
+	owner := ds.addressOwners[sr.cfg.Address]
+	news := sr.contested && owner != nil && !sr.answeredAt.After(owner.arrivedAt)
+	sr.answeredAt = now
+	if news {
+		ds.assignServers()
+	}
+}
+
+// noteAccepted records that a server has accepted a flow whose SYN this instance sent to
+// it at a time. So it has run at its address since then, and no other server that was known
+// by then does.
+func (ds *Dispatcher) noteAccepted(now, sentAt time.Time, sr *server) {
+	ds.noteAnswered(now, sr)
+	if !sr.contested && !sr.replaced {
+		return
+	}
+	sr.replaced = false
+	for _, other := range ds.servers {
+		if other != sr && other.cfg.Address == sr.cfg.Address && sentAt.After(other.arrivedAt) {
+			other.replaced = true
+		}
 	}
+	ds.assignServers()
 }
 
 // addressTaken reports whether the address of a server belongs to another one.
--- a/core/jpdispatch/handle.go
+++ b/core/jpdispatch/handle.go
@@ -140,7 +140,11 @@
 	}
 	fl.assign(sr)
 	fl.state = open
-	if fl.triedCount > 0 && !ds.mayHaveWaited(pk) {
+	switch {
+	case fl.triedCount == 0 || ds.mayHaveWaited(pk):
+	case pk.Tag == sr.tag && fl.hasTried(sr.tag):
+		ds.noteAccepted(now, fl.sentAt, sr)
+	default:
 		ds.noteAlive(now, sr)
 	}
 	return fl, Decision{Reason: reason}
@@ -214,7 +218,7 @@
 func (ds *Dispatcher) serverLost(now time.Time, fl *flow) (Reason, bool) {
 	sr := fl.server
 	switch {
-	case !sr.present && ds.permanentlyGone(now, sr, fl.firstSeenAt):
+	case sr.replaced || !sr.present && ds.permanentlyGone(now, sr, fl.firstSeenAt):
 		return ServerGone, true
 	case sr.silentFor(now, fl.firstSeenAt):
 		return ServerSilent, true
@@ -269,7 +273,7 @@
 	sr := fl.server
 	if pk.Flags&ACK != 0 && (fl.lastAck == 0 || int32(pk.Ack-fl.lastAck) > 0) {
 		if fl.lastAck != 0 && !ds.mayHaveWaited(pk) {
-			ds.noteAlive(now, sr)
+			ds.noteAnswered(now, sr)
 		}
 		fl.lastAck = pk.Ack
 		fl.clearWaiting()
--- a/core/jpdispatch/server.go
+++ b/core/jpdispatch/server.go
@@ -86,7 +86,11 @@
 	tag              uint32
 	arrival          uint64 // position in the order in which servers have come
 	present          bool
-	local            bool      // in this instance's data centre; set for the servers of services
+	local            bool // in this instance's data centre; set for the servers of services
+	arrivedAt        time.Time
+	answeredAt       time.Time // latest answer that a caller's packet has shown
+	contested        bool      // another present server names its address, and neither is replaced
+	replaced         bool      // another server has accepted a flow at its address
 	heldUntil        time.Time // no new flows before, see contradictionHold
 	successor        *server   // the process that its entry describes after it, at the same address
 	endedAt          time.Time // if there is a successor: flows first seen before this time stay
