Interfaces of capacity, admission, split and speed

Decisions are as before: the new functions return what was decided without them. Checked: tests of platform, io/jppeer, io/jpentry, core/jpdispatch.

--- a/core/jpdirectory/record.go
+++ b/core/jpdirectory/record.go
@@ -63,12 +63,13 @@
 
 // Route sends the flows of one address to services.
 type Route struct {
-	Name     string
-	Address  netip.AddrPort // that callers send to
-	Kind     RouteKind
-	Targets  []Target
-	Timeout  time.Duration // of a request
-	Priority int           // 0 is the highest
+	Name          string
+	Address       netip.AddrPort // that callers send to
+	Kind          RouteKind
+	Targets       []Target
+	Timeout       time.Duration // of a request
+	TargetLatency time.Duration // within which callers want the response, 0 if not stated
+	Priority      int           // 0 is the highest
 }
 
 // Target is a service that gets a share of a route's new flows, by its weight.
--- a/core/jpdispatch/failure.go
+++ b/core/jpdispatch/failure.go
@@ -50,6 +50,7 @@
 // clearWaiting records that no request of the flow awaits an answer any more.
 func (fl *flow) clearWaiting() {
 	fl.awaitingAnswer = false
+	fl.endRequest()
 	if fl.stuck {
 		fl.stuck = false
 		fl.server.stuckFlows--
--- a/core/jpdispatch/flow.go
+++ b/core/jpdispatch/flow.go
@@ -35,6 +35,7 @@
 	server         *server
 	state          flowState
 	active         bool                    // counts as load of the server
+	requesting     bool                    // counts in server.requests
 	synSequence    uint32                  // sequence number of the SYN
 	lastAck        uint32                  // latest acknowledgement of the caller
 	pendingEnd     uint32                  // sequence number after the data that awaits an answer
@@ -61,6 +62,24 @@
 		fl.active = false
 		fl.server.activeFlows--
 	}
+	fl.endRequest()
+}
+
+// beginRequest counts a request at the flow's server. A flow that is opening counts
+// too: its request follows at once.
+func (fl *flow) beginRequest() {
+	if !fl.requesting && fl.server != nil {
+		fl.requesting = true
+		fl.server.requests++
+	}
+}
+
+// endRequest ends what beginRequest began.
+func (fl *flow) endRequest() {
+	if fl.requesting {
+		fl.requesting = false
+		fl.server.requests--
+	}
 }
 
 // assign moves the flow to a server.
--- a/core/jpdispatch/handle.go
+++ b/core/jpdispatch/handle.go
@@ -285,6 +285,7 @@
 	switch {
 	case !fl.awaitingAnswer:
 		fl.awaitingAnswer, fl.pendingEnd, fl.sentAt = true, end, now
+		fl.beginRequest()
 	case int32(end-fl.pendingEnd) > 0:
 		fl.pendingEnd = end
 	case ds.answerDue(now, fl.sentAt):
--- a/core/jpdispatch/packet.go
+++ b/core/jpdispatch/packet.go
@@ -50,6 +50,7 @@
 	Refuse          // reset a flow that no server has received anything of
 	Reset           // reset an open flow that can't go on
 	Hold            // handle it again once the directory has a manifest
+	Wait            // keep the SYN until Dispatcher.Release returns its key
 )
 
 // Reason says why a packet got its outcome.
@@ -72,6 +73,8 @@
 	StrayReset                 // a reset of an unknown flow
 	Late                       // packet of a flow that this instance has reset
 	Stale                      // a SYN that may have waited while this instance was paused
+	Waiting                    // a new flow waits because its service is full
+	Overloaded                 // a new flow was refused because its service is full
 	reasonCount
 )
 
@@ -82,6 +85,7 @@
 	Placed: "placed", Moved: "moved", Known: "known", Tagged: "tagged", NotReady: "not_ready",
 	NoRoute: "no_route", NoServer: "no_server", Unreachable: "unreachable", UnknownTag: "unknown_tag", ServerGone: "server_gone",
 	ServerSilent: "server_silent", RouteRemoved: "route_removed", StrayReset: "stray_reset", Late: "late", Stale: "stale",
+	Waiting: "waiting", Overloaded: "overloaded",
 }
 
 // String returns the name of the reason in logs and metrics, in snake case.
--- a/core/jpdispatch/place.go
+++ b/core/jpdispatch/place.go
@@ -5,8 +5,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-
-	"jacinthpass/core/jpdirectory"
 )
 
 // remotePenalty is added to the load per slot of a server in another data centre,
@@ -45,14 +43,18 @@
 		fl.server.avoidUntil = now.Add(avoidDuration)
 		check = ds.checkUnanswered(now, fl.server, fl.sentAt, SYNRepeated)
 	}
-	sr, choices := ds.chooseServer(now, rt, pk, fl)
+	sc := ds.services[ds.selectService(now, rt, pk)]
+	sr, choices := ds.chooseServer(now, sc, pk, fl)
 	if sr == nil {
-		return ds.noServer(now, rt, pk, fl, check)
+		return ds.noServer(now, sc, pk, fl, check)
+	}
+	if dc, wait := ds.admit(now, rt, sc, pk, fl); wait {
+		return dc
 	}
 	if fl == nil {
 		added, err := ds.flows.Add(key)
 		if err != nil {
-			return ds.placeUntracked(now, rt, pk)
+			return ds.placeUntracked(now, sc, pk)
 		}
 		fl = added
 		fl.firstSeenAt = now
@@ -62,6 +64,7 @@
 	sr.noteSYN(now)
 	fl.synSequence, fl.sentAt, fl.lastSeenAt = pk.Sequence, now, now
 	fl.activate()
+	fl.beginRequest()
 	return Decision{
 		Outcome: Forward, Reason: reason, Server: sr.endpoint(), Check: check, Load: sr.load(now), Choices: choices,
 	}
@@ -90,12 +93,12 @@
 // may still open there; it is dropped if another instance may have got the earlier one.
 // If unreachable servers are the reason, the decision contains a check of one of them,
 // so that flows are accepted again soon after they recover.
-func (ds *Dispatcher) noServer(now time.Time, rt *jpdirectory.Route, pk Packet, fl *flow, check Check) Decision {
+func (ds *Dispatcher) noServer(now time.Time, sc *service, pk Packet, fl *flow, check Check) Decision {
 	if fl != nil {
 		return Decision{Outcome: Forward, Reason: Known, Server: fl.server.endpoint(), Check: check}
 	}
 	dc := Decision{Outcome: Refuse, Reason: NoServer, Reset: resetOf(pk, NoServer)}
-	servers := ds.eligibleUnreachable(now, ds.services[pickService(rt, pk)])
+	servers := ds.eligibleUnreachable(now, sc)
 	if len(servers) > 0 {
 		dc.Reason, dc.Reset.Reason = Unreachable, Unreachable
 		dc.Check = ds.checkAfterRefusal(now, servers)
@@ -143,8 +146,7 @@
 // out: a flow that only they could take is refused at once instead of keeping its
 // caller waiting, as when a data centre whose servers are out is cut off. It also
 // returns the number of candidates.
-func (ds *Dispatcher) chooseServer(now time.Time, rt *jpdirectory.Route, pk Packet, fl *flow) (*server, int) {
-	sc := ds.services[pickService(rt, pk)]
+func (ds *Dispatcher) chooseServer(now time.Time, sc *service, pk Packet, fl *flow) (*server, int) {
 	if sc == nil {
 		return nil, 0
 	}
@@ -158,8 +160,7 @@
 
 // placeUntracked places a flow for which the flow table has no room. It selects
 // the server by a hash of the flow, so that copies of the SYN reach the same one.
-func (ds *Dispatcher) placeUntracked(now time.Time, rt *jpdirectory.Route, pk Packet) Decision {
-	sc := ds.services[pickService(rt, pk)]
+func (ds *Dispatcher) placeUntracked(now time.Time, sc *service, pk Packet) Decision {
 	var chosen *server
 	choices := 0
 	for _, accepts := range []func(time.Time, *service, *server) bool{ds.available, ds.mayAnswer} {
@@ -196,7 +197,7 @@
 			continue
 		}
 		choices++
-		score := float64(sr.load(now)) / float64(max(sr.cfg.Slots, 1))
+		score := float64(sr.load(now)) / ds.concurrency(now, sr)
 		if ix >= sc.local {
 			score += remotePenalty
 		}
@@ -247,25 +248,6 @@
 	return time.Duration(float64(time.Second) / max(sc.cfg.ColdPerSecond, minColdPerSecond))
 }
 
-// pickService selects a service of the route by weight. Retransmissions of a SYN
-// get the same service.
-func pickService(rt *jpdirectory.Route, pk Packet) string {
-	total := 0
-	for _, tg := range rt.Targets {
-		total += max(tg.Weight, 0)
-	}
-	if total == 0 {
-		return ""
-	}
-	position := int(flowHash(pk, 0) % uint64(total))
-	for _, tg := range rt.Targets {
-		if position -= max(tg.Weight, 0); position < 0 {
-			return tg.Service
-		}
-	}
-	return ""
-}
-
 // tieBreak orders servers of equal load, differently for each flow.
 func tieBreak(pk Packet, sr *server) uint64 { return flowHash(pk, sr.tag) }
 
--- a/core/jpdispatch/server.go
+++ b/core/jpdispatch/server.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"jacinthpass/core/jpdirectory"
+	"jacinthpass/core/jpspeed"
 )
 
 const (
@@ -98,6 +99,7 @@
 	lastListedAt     time.Time // latest time at which the directory was known to contain it; set when it leaves
 	dataCentreBackAt time.Time // when its data centre came back into service
 	activeFlows      int       // flows of this instance that count as load
+	requests         int       // flows of this instance with a request that has no response yet
 	trackedFlows     int       // flow table entries of this instance
 	peerLoads        map[string]peerLoad
 	peerFlows        int       // sum of peerLoads
@@ -240,10 +242,13 @@
 	return now.Before(sr.cfg.WarmAt) || now.Before(sr.dataCentreBackAt.Add(sc.cfg.ColdTime))
 }
 
-// Load is the load that one instance puts on a server.
+// Load is the load that one instance puts on a server, and what it observes of it.
 type Load struct {
-	Tag   uint32 // of the server
-	Flows int    // active flows plus the weight of unanswered requests
+	Tag      uint32          // of the server
+	Flows    int             // active flows plus the weight of unanswered requests
+	Held     int             // all flows, idle ones included
+	Requests float64         // mean number of requests without a response since the last report
+	Speed    jpspeed.Summary // of its responses since the last report
 }
 
 // Loads returns the loads that this instance reports to its peers, in order of
--- a/io/jpentry/packets.go
+++ b/io/jpentry/packets.go
@@ -201,7 +201,7 @@
 }
 
 var outcomeNames = []string{
-	jpdispatch.Drop: "drop", jpdispatch.Hold: "hold", jpdispatch.Forward: "forward", jpdispatch.Refuse: "refuse", jpdispatch.Reset: "reset",
+	jpdispatch.Drop: "drop", jpdispatch.Hold: "hold", jpdispatch.Forward: "forward", jpdispatch.Wait: "wait", jpdispatch.Refuse: "refuse", jpdispatch.Reset: "reset",
 }
 
 func outcomeName(oc jpdispatch.Outcome) string { return outcomeNames[oc] }
--- a/io/jppeer/directory.go
+++ b/io/jppeer/directory.go
@@ -1,6 +1,7 @@
 package jppeer
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"jacinthpass/core/jpdirectory"
 	"jacinthpass/core/jpdispatch"
+	"jacinthpass/core/jpspeed"
 )
 
 // DirectoryStatus reports the revision of the sender's directory and the servers
@@ -46,9 +48,13 @@
 }
 
 type wireServerLoad struct {
-	_     struct{} `cbor:",toarray"`
-	Tag   uint32
-	Flows uint32
+	_            struct{} `cbor:",toarray"`
+	Tag          uint32
+	Flows        uint32
+	Held         uint32
+	Requests     uint32 // hundredths
+	Slowness     uint32 // hundredths
+	SpeedSamples uint32
 }
 
 type wireDirectoryRequest struct {
@@ -85,13 +91,14 @@
 }
 
 type wireRoute struct {
-	_        struct{} `cbor:",toarray"`
-	Name     string
-	Address  netip.AddrPort
-	Kind     uint8
-	Targets  []wireTarget
-	Timeout  int64 // ns
-	Priority int
+	_             struct{} `cbor:",toarray"`
+	Name          string
+	Address       netip.AddrPort
+	Kind          uint8
+	Targets       []wireTarget
+	Timeout       int64 // ns
+	TargetLatency int64 // ns
+	Priority      int
 }
 
 type wireTarget struct {
@@ -134,7 +141,10 @@
 		Loads: make([]wireServerLoad, 0, len(ds.Loads)), SilentServers: ds.SilentServers,
 	}
 	for _, ld := range ds.Loads {
-		wire.Loads = append(wire.Loads, wireServerLoad{Tag: ld.Tag, Flows: uint32(ld.Flows)})
+		wire.Loads = append(wire.Loads, wireServerLoad{
+			Tag: ld.Tag, Flows: uint32(ld.Flows), Held: uint32(ld.Held), Requests: toHundredths(ld.Requests),
+			Slowness: toHundredths(ld.Speed.Slowness), SpeedSamples: uint32(ld.Speed.Samples),
+		})
 	}
 	return wire
 }
@@ -145,11 +155,21 @@
 	}
 	ds := DirectoryStatus{Revision: wire.Revision, Age: time.Duration(wire.Age), StoreUptime: time.Duration(wire.StoreUptime), SilentServers: wire.SilentServers}
 	for _, wl := range wire.Loads {
-		ds.Loads = append(ds.Loads, jpdispatch.Load{Tag: wl.Tag, Flows: int(wl.Flows)})
+		ds.Loads = append(ds.Loads, jpdispatch.Load{
+			Tag: wl.Tag, Flows: int(wl.Flows), Held: int(wl.Held), Requests: fromHundredths(wl.Requests),
+			Speed: jpspeed.Summary{Slowness: fromHundredths(wl.Slowness), Samples: int(wl.SpeedSamples)},
+		})
 	}
 	return ds, nil
 }
 
+// toHundredths converts a number that is not negative to hundredths, the nearest ones.
+func toHundredths(value float64) uint32 {
+	return uint32(min(max(100*value+0.5, 0), math.MaxUint32))
+}
+
+func fromHundredths(hundredths uint32) float64 { return float64(hundredths) / 100 }
+
 func directoryUpdateToWire(du DirectoryUpdate) wireDirectoryUpdate {
 	wire := wireDirectoryUpdate{
 		SinceRevision: du.SinceRevision, Revision: du.Update.Revision, Full: du.Update.Full,
@@ -234,7 +254,8 @@
 	}
 	for _, rt := range mf.Routes {
 		wr := wireRoute{
-			Name: rt.Name, Address: rt.Address, Kind: uint8(rt.Kind), Timeout: int64(rt.Timeout), Priority: rt.Priority,
+			Name: rt.Name, Address: rt.Address, Kind: uint8(rt.Kind),
+			Timeout: int64(rt.Timeout), TargetLatency: int64(rt.TargetLatency), Priority: rt.Priority,
 		}
 		for _, tg := range rt.Targets {
 			wr.Targets = append(wr.Targets, wireTarget{Service: tg.Service, Weight: tg.Weight})
@@ -254,7 +275,7 @@
 	for _, wr := range wire.Routes {
 		rt := jpdirectory.Route{
 			Name: wr.Name, Address: wr.Address, Kind: jpdirectory.RouteKind(wr.Kind),
-			Timeout: time.Duration(wr.Timeout), Priority: wr.Priority,
+			Timeout: time.Duration(wr.Timeout), TargetLatency: time.Duration(wr.TargetLatency), Priority: wr.Priority,
 		}
 		for _, tg := range wr.Targets {
 			rt.Targets = append(rt.Targets, jpdirectory.Target{Service: tg.Service, Weight: tg.Weight})
--- a/io/jppeer/frame_test.go
+++ b/io/jppeer/frame_test.go
@@ -12,6 +12,7 @@
 
 	"jacinthpass/core/jpdirectory"
 	"jacinthpass/core/jpdispatch"
+	"jacinthpass/core/jpspeed"
 	"jacinthpass/core/jpevent"
 	"jacinthpass/core/jpmember"
 	"jacinthpass/core/jppacket"
@@ -52,7 +53,7 @@
 // whose times change between encoding and decoding.
 func sampleDirectoryMessages() []any {
 	return []any{
-		DirectoryStatus{Revision: 7, Age: time.Second, StoreUptime: time.Minute, Loads: []jpdispatch.Load{{Tag: 1 << 31, Flows: 3}}, SilentServers: []string{"i-2"}},
+		DirectoryStatus{Revision: 7, Age: time.Second, StoreUptime: time.Minute, Loads: []jpdispatch.Load{{Tag: 1 << 31, Flows: 3, Held: 9, Requests: 1.25, Speed: jpspeed.Summary{Slowness: 3.5, Samples: 12}}}, SilentServers: []string{"i-2"}},
 		DirectoryRequest{Revision: 6},
 	}
 }
@@ -76,7 +77,7 @@
 		Version: 4, IdleTimeout: time.Minute,
 		Routes: []jpdirectory.Route{{
 			Name: "alerts", Address: netip.MustParseAddrPort("10.80.0.1:443"), Kind: jpdirectory.Download,
-			Targets: []jpdirectory.Target{{Service: "order_desk", Weight: 90}}, Timeout: time.Second, Priority: 2,
+			Targets: []jpdirectory.Target{{Service: "order_desk", Weight: 90}}, Timeout: time.Second, TargetLatency: 400 * time.Millisecond, Priority: 2,
 		}},
 		Services: []jpdirectory.Service{{Name: "order_desk", MaxFlows: 2000, ColdTime: time.Second, ColdPerSecond: 2.5}},
 	}
