--- a/io/jppeer/frame_test.go
+++ b/io/jppeer/frame_test.go
@@ -12,12 +12,12 @@
 
 	"jacinthpass/core/jpdirectory"
 	"jacinthpass/core/jpdispatch"
-	"jacinthpass/core/jpspeed"
 	"jacinthpass/core/jpevent"
 	"jacinthpass/core/jpmember"
 	"jacinthpass/core/jppacket"
 	"jacinthpass/core/jprollout"
 	"jacinthpass/core/jpsettings"
+	"jacinthpass/core/jpspeed"
 	"jacinthpass/core/jpsteering"
 )
 
