--- a/core/jpdispatch/admit.go
+++ b/core/jpdispatch/admit.go
@@ -1,13 +1,132 @@
 package jpdispatch
 
 import (
+	"net/netip"
 	"time"
 
+	"jacinthpass/core/jpadmission"
+	"jacinthpass/core/jpcapacity"
 	"jacinthpass/core/jpdirectory"
 )
 
+const (
+	// learningTime is how long this instance observes flows and its peers' reports,
+	// after its start and after a pause, before it takes a service for full.
+	learningTime = 2 * reportInterval
+
+	// maxReportAge is the age above which a report says nothing about how full a
+	// service is now: a request takes less.
+	maxReportAge = 4 * reportInterval
+
+	// reportInterval separates the reports of a peer.
+	reportInterval = 500 * time.Millisecond
+
+	// retryPercent is the share of repeated attempts among those that wait at a full
+	// service, in percent of its new flows.
+	retryPercent = 10
+)
+
+// gate is the admission state of one service.
+type gate struct {
+	queue     *jpadmission.Queue[FlowKey]
+	retries   jpadmission.RetryBudget
+	usual     jpadmission.UsualTime
+	checkedAt time.Time // latest time at which releases were considered
+}
+
+// admission holds the new flows that wait, and what decides about them.
+type admission struct {
+	gates    map[string]*gate // by name of the service
+	waiters  map[FlowKey]*waiter
+	ended    []Released // waits that have ended since the last call of Release
+	refusals jpadmission.Refusals[netip.Addr]
+	since    time.Time // first new flow
+	reviewAt time.Time // next search for waits that have become hopeless
+	stopped  bool
+}
+
+func (ds *Dispatcher) gateOf(name string) *gate {
+	gt := ds.admission.gates[name]
+	if gt == nil {
+		gt = &gate{
+			queue:   jpadmission.NewQueue[FlowKey](maxWaiting),
+			retries: jpadmission.RetryBudget{Percent: retryPercent},
+		}
+		ds.admission.gates[name] = gt
+	}
+	return gt
+}
+
 // admit decides whether a new flow may be placed now. If not, it returns the decision
-// on the SYN and true.
-func (ds *Dispatcher) admit(_ time.Time, _ *jpdirectory.Route, _ *service, _ Packet, _ *flow) (Decision, bool) {
-	return Decision{}, false
+// on the SYN and true. A copy whose first transmission this instance has not seen is
+// placed: another instance may have placed the flow, so a refusal might not be true.
+func (ds *Dispatcher) admit(now time.Time, rt *jpdirectory.Route, sc *service, pk Packet, fl *flow) (Decision, bool) {
+	am := &ds.admission
+	if am.since.IsZero() {
+		am.since = now
+	}
+	if rt.TargetLatency <= 0 || fl != nil || pk.released || pk.Ack > 0 || am.stopped {
+		return Decision{}, false
+	}
+	gt := ds.gateOf(sc.cfg.Name)
+	deadline, expires, repeated := am.refusals.Take(now, pk.Caller.Addr())
+	if !repeated {
+		gt.retries.Deposit()
+	}
+	es := ds.fullness(now, sc)
+	if !ds.knowsFullness(now, es) || gt.queue.Len() == 0 && es.Room(gt.perSlot(rt)) > 0 {
+		return Decision{}, false
+	}
+	it := gt.itemOf(now, rt, pk)
+	if repeated {
+		it.Deadline, it.Expires = earlier(it.Deadline, deadline), earlier(it.Expires, expires)
+	}
+	if gt.queue.Hopeless(now, it) || repeated && !gt.retries.TryWithdraw(now) {
+		return ds.refuseWaiter(now, &waiter{packet: pk, item: it, arrivedAt: now}), true
+	}
+	return ds.wait(now, sc, gt, pk, it), true
+}
+
+// knowsFullness reports whether an estimate is based on enough to take a service for
+// full: reports of peers, unless there are none, that are not old, and a time in which
+// this instance has seen the flows that come to it.
+func (ds *Dispatcher) knowsFullness(now time.Time, es jpcapacity.Estimate) bool {
+	since := ds.admission.since
+	if ds.evidenceSince.After(since) {
+		since = ds.evidenceSince
+	}
+	return es.Slots > 0 && now.Sub(since) >= learningTime && now.Sub(es.OldestAt) <= maxReportAge &&
+		(es.Seen > 1 || es.Instances <= 1)
+}
+
+// perSlot returns how many requests for each slot the latency target of a route allows.
+func (gt *gate) perSlot(rt *jpdirectory.Route) float64 {
+	return jpadmission.PerSlot(rt.TargetLatency, gt.usual.Get())
+}
+
+// itemOf returns the item of a flow that would have to wait.
+func (gt *gate) itemOf(now time.Time, rt *jpdirectory.Route, pk Packet) jpadmission.Item[FlowKey] {
+	it := jpadmission.Item[FlowKey]{
+		Key: keyOf(pk), Priority: rt.Priority,
+		Deadline: now.Add(rt.TargetLatency - gt.usual.Get()), Expires: now.Add(maxWait),
+	}
+	if rt.Timeout > 0 {
+		it.Expires = earlier(it.Expires, now.Add(rt.Timeout-gt.usual.Get()))
+	}
+	return it
+}
+
+func earlier(at, other time.Time) time.Time {
+	if other.Before(at) {
+		return other
+	}
+	return at
+}
+
+// noteResponse records the response time of a request.
+func (ds *Dispatcher) noteResponse(now time.Time, fl *flow) {
+	gt := ds.admission.gates[fl.server.cfg.Service]
+	if gt != nil && fl.awaitingAnswer && fl.sentAt.After(ds.evidenceSince) {
+		gt.usual.Add(now.Sub(fl.sentAt))
+	}
 }
--- a/core/jpdispatch/dispatcher.go
+++ b/core/jpdispatch/dispatcher.go
@@ -69,6 +69,7 @@
 	cutEvidence    map[string]cutEvidence // by data centre
 	unknownTags    map[uint32]time.Time   // first packet with the tag, by tag
 	routelessFlows map[FlowKey]time.Time  // first packet of an open flow whose route is not known
+	admission      admission
 	lastTick       time.Time
 	nextExpiry     time.Time
 	observedAt     time.Time // latest call of Observe
@@ -99,6 +100,7 @@
 		cutEvidence:    map[string]cutEvidence{},
 		unknownTags:    map[uint32]time.Time{},
 		routelessFlows: map[FlowKey]time.Time{},
+		admission:      admission{gates: map[string]*gate{}, waiters: map[FlowKey]*waiter{}},
 	}
 }
 
@@ -381,6 +383,7 @@
 // Stats holds counts of the flows and servers that an instance knows.
 type Stats struct {
 	Flows   int
+	Waiting int // new flows that wait for room
 	Servers int
 	Silent  int // servers that failed a check and were not seen alive since
 	Failing int // servers with unanswered requests
@@ -388,7 +391,7 @@
 
 // Stats returns the current counts. Only servers in the directory are counted.
 func (ds *Dispatcher) Stats() Stats {
-	stats := Stats{Flows: ds.flows.Len()}
+	stats := Stats{Flows: ds.flows.Len(), Waiting: ds.Waiting()}
 	for _, sr := range ds.servers {
 		if !sr.present {
 			continue
--- a/core/jpdispatch/handle.go
+++ b/core/jpdispatch/handle.go
@@ -14,6 +14,9 @@
 	if !ds.hasManifest {
 		return Decision{Outcome: Hold, Reason: NotReady}
 	}
+	if dc, waits := ds.handleWaiting(now, pk); waits {
+		return dc
+	}
 	if pk.Flags&SYN != 0 {
 		return ds.handleSYN(now, pk)
 	}
@@ -274,6 +277,7 @@
 	if pk.Flags&ACK != 0 && (fl.lastAck == 0 || int32(pk.Ack-fl.lastAck) > 0) {
 		if fl.lastAck != 0 && !ds.mayHaveWaited(pk) {
 			ds.noteAnswered(now, sr)
+			ds.noteResponse(now, fl)
 		}
 		fl.lastAck = pk.Ack
 		fl.clearWaiting()
--- a/core/jpdispatch/packet.go
+++ b/core/jpdispatch/packet.go
@@ -38,6 +38,8 @@
 	// ArrivedAfter is the latest time at which the instance had no packet left to
 	// read, so that this one arrived later. Zero if it has certainly not waited.
 	ArrivedAfter time.Time
+
+	released bool // a SYN that has waited and is to be placed now
 }
 
 // Outcome is the action to take on a packet.
@@ -101,6 +103,10 @@
 	Load    int   // load of the server in flows, of Placed and Moved
 	Choices int   // number of candidate servers, of Placed and Moved
 
+	// Of a new flow that has to wait, has waited or is refused for its service is full.
+	Priority int           // of its route
+	Waited   time.Duration // so far
+
 	// TagDiffers reports that an open flow's packet is forwarded to a server other
 	// than the one that its tag names.
 	TagDiffers bool
--- a/core/jpdispatch/tick.go
+++ b/core/jpdispatch/tick.go
@@ -152,6 +152,7 @@
 			delete(ds.serversByTag, tag)
 		}
 	}
+	maps.DeleteFunc(ds.admission.gates, func(name string, gt *gate) bool { return ds.services[name] == nil && gt.queue.Len() == 0 })
 	maps.DeleteFunc(ds.peerReports, func(_ string, rp silentReport) bool { return !now.Before(rp.expires) })
 	maps.DeleteFunc(ds.routelessFlows, func(_ FlowKey, firstAt time.Time) bool { return now.Sub(firstAt) >= routelessRetention })
 	maps.DeleteFunc(ds.unknownTags, func(_ uint32, firstAt time.Time) bool { return now.Sub(firstAt) >= tagRetention })
--- a/io/jpentry/entry.go
+++ b/io/jpentry/entry.go
@@ -57,6 +57,7 @@
 	stopping      atomic.Bool
 	lastPacket    atomic.Int64  // receive time of the last packet from a caller, Unix ns
 	manifestKnown chan struct{} // closed once the directory has a manifest
+	flowsWait     chan struct{} // holds a value once a flow waits
 
 	// The following fields are used by tick only.
 	nextTrafficLog time.Time
@@ -75,6 +76,7 @@
 	requestLimiter *jpdirectory.RequestLimiter
 	watchDuty      *jpdirectory.WatchDuty
 	held           jpdispatch.HoldQueue[heldPacket] // packets received before the directory had a manifest
+	waiting        map[jpdispatch.FlowKey][]byte    // SYNs of the flows that wait in the dispatcher
 }
 
 // storeHandle is a client of the store with the address it was opened for.
@@ -143,6 +145,8 @@
 		watchDuty:        jpdirectory.NewWatchDuty(settings.ChangeLimit),
 		statuses:         map[string]peerStatus{},
 		manifestKnown:    make(chan struct{}),
+		flowsWait:        make(chan struct{}, 1),
+		waiting:          map[jpdispatch.FlowKey][]byte{},
 	}
 	en.store.Store(&storeHandle{Store: pf.OpenStore(settings.Store), address: settings.Store})
 	self := jpmember.Member{
@@ -165,6 +169,7 @@
 	group.Go(func() error { return en.servePackets(workCtx) })
 	group.Go(func() error { return en.peers.Serve(workCtx) })
 	group.Go(func() error { en.runTicks(workCtx); return nil })
+	group.Go(func() error { en.runReleases(workCtx); return nil })
 	group.Go(func() error { en.syncDirectory(workCtx); return nil })
 	group.Go(func() error { en.maintainRegistration(workCtx); return nil })
 	group.Go(func() error { en.watchSettings(workCtx, reload); return nil })
--- a/io/jpentry/metrics.go
+++ b/io/jpentry/metrics.go
@@ -27,6 +27,9 @@
 	packetsByReason [jpdispatch.Reasons]atomic.Uint64
 	resetsByReason  [jpdispatch.Reasons]atomic.Uint64 // of open flows
 	tagDiffers      atomic.Uint64
+	waits           [waitOutcomes][priorityLabels]atomic.Uint64
+	waitTime        atomic.Int64 // total time that flows have waited, ns
+	waitingFlows    atomic.Int64
 	malformed       atomic.Uint64
 	droppedNotReady atomic.Uint64 // packets for which HoldQueue had no room
 	readErrors      atomic.Uint64
@@ -87,6 +90,7 @@
 func (mt *metrics) updateGauges(stats jpdispatch.Stats, revision, calls uint64) {
 	mt.flows.Store(int64(stats.Flows))
 	mt.servers.Store(int64(stats.Servers))
+	mt.waitingFlows.Store(int64(stats.Waiting))
 	mt.silentServers.Store(int64(stats.Silent))
 	mt.failingServers.Store(int64(stats.Failing))
 	mt.revision.Store(revision)
@@ -129,6 +133,16 @@
 	} {
 		reportCounter(ct.name, nil, "", ct.from.Load())
 	}
+	for outcome := range mt.waits {
+		for priority := range mt.waits[outcome] {
+			if count := mt.waits[outcome][priority].Load(); count > 0 {
+				label := strconv.Itoa(priority)
+				tags := map[string]string{"outcome": waitOutcomeNames[outcome], "priority": label}
+				reportCounter("waits_total", tags, tags["outcome"]+label, count)
+			}
+		}
+	}
+	reportCounter("wait_milliseconds_total", nil, "", uint64(mt.waitTime.Load()/int64(time.Millisecond)))
 	reportCounter("log_lines_dropped_total", map[string]string{"reason": "budget"}, "budget", dropped.rateLimited)
 	reportCounter("log_lines_dropped_total", map[string]string{"reason": "queue"}, "queue", dropped.queueFull)
 	for direction, traffic := range map[string]map[string]jppeer.MessageTraffic{"sent": peers.Written, "received": peers.Read} {
@@ -151,6 +165,7 @@
 	}
 	scope.Gauge("peers").Update(float64(peers.OutgoingConnections))
 	scope.Gauge("flows").Update(float64(mt.flows.Load()))
+	scope.Gauge("waiting_flows").Update(float64(mt.waitingFlows.Load()))
 	scope.Gauge("servers").Update(float64(mt.servers.Load()))
 	scope.Gauge("silent_servers").Update(float64(mt.silentServers.Load()))
 	scope.Gauge("failing_servers").Update(float64(mt.failingServers.Load()))
--- a/io/jpentry/packets.go
+++ b/io/jpentry/packets.go
@@ -103,10 +103,15 @@
 	en.mu.Lock()
 	en.observe(now)
 	dc := en.dispatcher.Handle(now, pk)
+	if dc.Outcome == jpdispatch.Wait {
+		en.keepWaiting(pk, buffer[headroom:headroom+size])
+	}
+	released := en.takeReleased(now)
 	current := en.directory.CurrentAt()
 	revision := en.directory.Revision()
 	en.mu.Unlock()
 	en.metrics.countDecision(dc)
+	en.metrics.countWait(pk, dc)
 	if dc.Outcome == jpdispatch.Reset {
 		en.logReset(now, dc.Reset, pk.Request, revision, now.Sub(current))
 	} else {
@@ -127,6 +132,7 @@
 	if dc.Reason == jpdispatch.UnknownTag {
 		en.requestUpdate(now)
 	}
+	en.finishReleased(released)
 	en.metrics.decisionTimes.observe(time.Since(now))
 }
 
@@ -188,6 +194,7 @@
 		"outcome", outcomeName(dc.Outcome), "request", pk.Request,
 		"caller", pk.Caller, "route", pk.Route, "server", dc.Server.ID, "tag_differs", dc.TagDiffers,
 		"load", dc.Load, "choices", dc.Choices, "copies", synCopies(pk),
+		"priority", dc.Priority, "waited_ms", dc.Waited.Milliseconds(),
 		"revision", revision, "age_ms", age.Milliseconds())
 }
 
--- a/io/jpentry/stop.go
+++ b/io/jpentry/stop.go
@@ -34,8 +34,12 @@
 	en.mu.Lock()
 	en.timeline.Add("entry", "instance_leaving", en.settings.ID, "")
 	en.group.Leave(began)
+	en.observe(began)
+	en.dispatcher.StopWaiting()
+	released := en.takeReleased(began)
 	deadline := began.Add(max(en.settings.StopTimeout-exitReserve, minStopTime))
 	en.mu.Unlock()
+	en.finishReleased(released)
 	for ctx.Err() == nil {
 		now := time.Now()
 		lastPacket := time.Unix(0, en.lastPacket.Load())
