--- a/core/jpadmission/queue.go
+++ b/core/jpadmission/queue.go
@@ -71,20 +71,21 @@
 	return ln != nil
 }
 
-// Next returns the item to release next among those that ready selects.
-func (qu *Queue[K]) Next(now time.Time, ready func(K) bool) (Item[K], bool) {
+// Next returns the item to release next among those that ready selects, and whether it is
+// the turn of a priority below the highest one.
+func (qu *Queue[K]) Next(now time.Time, ready func(K) bool) (it Item[K], assured, ok bool) {
 	qu.advance(now)
 	if qu.skipped >= assuredInterval-1 {
 		if it, ok := qu.assured(ready); ok {
-			return it, true
+			return it, true, true
 		}
 	}
 	for _, ln := range qu.lanes {
 		if it, ok := ln.first(ready); ok {
-			return it, true
+			return it, false, true
 		}
 	}
-	return Item[K]{}, false
+	return Item[K]{}, false, false
 }
 
 // Release removes an item that Next has returned, and counts it as released.
--- a/core/jpdispatch/admit.go
+++ b/core/jpdispatch/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"jacinthpass/core/jpadmission"
@@ -74,7 +75,7 @@
 		gt.retries.Deposit()
 	}
 	es := ds.fullness(now, sc)
-	if !ds.knowsFullness(now, es) || gt.queue.Len() == 0 && es.Room(gt.perSlot(rt)) > 0 {
+	if !ds.knowsFullness(now, es) || gt.queue.Len() == 0 && es.Room(gt.perSlot(sc, rt, false)) > 0 {
 		return Decision{}, false
 	}
 	it := gt.itemOf(now, rt, pk)
@@ -99,9 +100,30 @@
 		(es.Seen > 1 || es.Instances <= 1)
 }
 
-// perSlot returns how many requests for each slot the latency target of a route allows.
-func (gt *gate) perSlot(rt *jpdirectory.Route) float64 {
-	return jpadmission.PerSlot(rt.TargetLatency, gt.usual.Get())
+// perSlot returns how many requests for each slot a service may have when a flow of a
+// route is added. An assured release is one in the place of a flow of the highest priority.
+func (gt *gate) perSlot(sc *service, rt *jpdirectory.Route, assured bool) float64 {
+	rank, _ := slices.BinarySearch(sc.ranks, rt.Priority)
+	if assured {
+		rank = 0
+	}
+	return jpadmission.PerSlot(rt.TargetLatency, gt.usual.Get(), rank, len(sc.ranks))
+}
+
+// rankPriorities sets the priorities of the routes that state a latency target, for each
+// service.
+func (ds *Dispatcher) rankPriorities() {
+	for _, rt := range ds.routes {
+		for _, tg := range rt.Targets {
+			sc := ds.services[tg.Service]
+			if sc == nil || rt.TargetLatency <= 0 || tg.Weight <= 0 {
+				continue
+			}
+			if ix, found := slices.BinarySearch(sc.ranks, rt.Priority); !found {
+				sc.ranks = slices.Insert(sc.ranks, ix, rt.Priority)
+			}
+		}
+	}
 }
 
 // itemOf returns the item of a flow that would have to wait.
--- a/core/jpdispatch/dispatcher.go
+++ b/core/jpdispatch/dispatcher.go
@@ -79,6 +79,7 @@
 
 type service struct {
 	cfg     jpdirectory.Service
+	ranks   []int     // priorities of the routes with a latency target, in order
 	servers []*server // of this instance's data centre first
 	local   int       // number of servers in this instance's data centre
 }
@@ -166,6 +167,7 @@
 		services[sc.Name] = &service{cfg: sc}
 	}
 	ds.services = services
+	ds.rankPriorities()
 }
 
 // applyDataCentreOut sets whether a data centre is out of service. When it
--- a/core/jpdispatch/loadcaller_test.go
+++ b/core/jpdispatch/loadcaller_test.go
@@ -205,6 +205,7 @@
 		dc := in.Handle(pl.now, pk)
 		pl.check(in, dc.Check)
 		pl.act(in, fl, pk, dc, sentAt)
+		pl.release(in)
 	}
 	pl.after(playHop, func() {
 		if in.frozen {
@@ -218,6 +219,26 @@
 	})
 }
 
+// release ends waits of an instance, and again soon while there are others.
+func (pl *loadPlay) release(in *playInstance) {
+	for _, rl := range in.Release(pl.now) {
+		if act := in.waiting[rl.Key]; act != nil {
+			delete(in.waiting, rl.Key)
+			act(rl.Decision)
+		}
+	}
+	if in.Waiting() == 0 || in.releasing {
+		return
+	}
+	in.releasing = true
+	pl.after(playRelease, func() {
+		in.releasing = false
+		if !in.frozen {
+			pl.release(in)
+		}
+	})
+}
+
 // act takes the action that an instance has decided on.
 func (pl *loadPlay) act(in *playInstance, fl *playFlow, pk Packet, dc Decision, sentAt time.Time) {
 	switch dc.Outcome {
--- a/core/jpdispatch/loadplay_test.go
+++ b/core/jpdispatch/loadplay_test.go
@@ -19,6 +19,7 @@
 	playStatus    = 500 * time.Millisecond
 	playPeerDelay = 5 * time.Millisecond
 	playGap       = 300 * time.Millisecond // mean time between the requests of a long flow
+	playRelease   = 10 * time.Millisecond
 	playRetry     = 3 * time.Millisecond
 	playGiveUp    = 1400 * time.Millisecond
 	playTries     = 3
@@ -111,6 +112,7 @@
 	frozenSince time.Time
 	held        []func() // packets that arrived meanwhile
 	waiting     map[FlowKey]func(Decision)
+	releasing   bool // a call of release is due
 }
 
 func newLoadPlay(tb testing.TB, cfg playConfig) *loadPlay {
--- a/core/jpdispatch/wait.go
+++ b/core/jpdispatch/wait.go
@@ -83,6 +83,7 @@
 		ds.endRefused(now, refused.Key)
 	}
 	ds.admission.waiters[it.Key] = wt
+	gt.checkedAt = time.Time{}
 	return Decision{Outcome: Wait, Reason: Waiting, Priority: it.Priority}
 }
 
@@ -146,24 +147,24 @@
 	if limited {
 		es := ds.fullness(now, sc)
 		limited = ds.knowsFullness(now, es)
-		for limited && ds.releaseOne(now, gt, func(wt *waiter) bool {
+		for limited && ds.releaseOne(now, gt, func(wt *waiter, assured bool) bool {
 			rt := ds.routes[wt.packet.Route]
-			return rt == nil || rt.TargetLatency <= 0 || es.Room(gt.perSlot(rt)) > 0
+			return rt == nil || rt.TargetLatency <= 0 || es.Room(gt.perSlot(sc, rt, assured)) > 0
 		}) {
 			es.Own++
 			es.Requests++
 		}
 	}
-	for !limited && ds.releaseOne(now, gt, func(*waiter) bool { return true }) {
+	for !limited && ds.releaseOne(now, gt, func(*waiter, bool) bool { return true }) {
 	}
 }
 
 // releaseOne places the first of the flows that wait, if it has room. It returns false if
 // none was placed.
-func (ds *Dispatcher) releaseOne(now time.Time, gt *gate, hasRoom func(*waiter) bool) bool {
+func (ds *Dispatcher) releaseOne(now time.Time, gt *gate, hasRoom func(wt *waiter, assured bool) bool) bool {
 	waiters := ds.admission.waiters
-	it, ok := gt.queue.Next(now, func(key FlowKey) bool { return waiters[key].confirmed(now) })
-	if !ok || !hasRoom(waiters[it.Key]) {
+	it, assured, ok := gt.queue.Next(now, func(key FlowKey) bool { return waiters[key].confirmed(now) })
+	if !ok || !hasRoom(waiters[it.Key], assured) {
 		return false
 	}
 	wt := waiters[it.Key]
