--- a/core/jpdispatch/admit.go
+++ b/core/jpdispatch/admit.go
@@ -40,12 +40,18 @@
 	gates    map[string]*gate // by name of the service
 	waiters  map[FlowKey]*waiter
 	ended    []Released // waits that have ended since the last call of Release
-	refusals jpadmission.Refusals[netip.Addr]
+	refusals jpadmission.Refusals[callerRoute]
 	since    time.Time // first new flow
 	reviewAt time.Time // next search for waits that have become hopeless
 	stopped  bool
 }
 
+// callerRoute is what an attempt and its repetition have in common.
+type callerRoute struct {
+	caller netip.Addr
+	route  netip.AddrPort
+}
+
 func (ds *Dispatcher) gateOf(name string) *gate {
 	gt := ds.admission.gates[name]
 	if gt == nil {
@@ -70,7 +76,7 @@
 		return Decision{}, false
 	}
 	gt := ds.gateOf(sc.cfg.Name)
-	deadline, expires, repeated := am.refusals.Take(now, pk.Caller.Addr())
+	deadline, expires, repeated := am.refusals.Take(now, callerRoute{pk.Caller.Addr(), pk.Route})
 	if !repeated {
 		gt.retries.Deposit()
 	}
--- a/core/jpdispatch/wait.go
+++ b/core/jpdispatch/wait.go
@@ -212,7 +212,7 @@
 
 // refuseWaiter refuses a flow that no instance has sent to a server.
 func (ds *Dispatcher) refuseWaiter(now time.Time, wt *waiter) Decision {
-	ds.admission.refusals.Note(now, wt.packet.Caller.Addr(), wt.item.Deadline, wt.item.Expires)
+	ds.admission.refusals.Note(now, callerRoute{wt.packet.Caller.Addr(), wt.packet.Route}, wt.item.Deadline, wt.item.Expires)
 	return Decision{
 		Outcome: Refuse, Reason: Overloaded, Reset: resetOf(wt.packet, Overloaded),
 		Priority: wt.item.Priority, Waited: now.Sub(wt.arrivedAt),
