jpcapacity: estimator of how full a service is

Cause: fullness was the own requests times the number of instances. The dispatcher collects the servers of a service every 100 ms, counts its own requests there exactly, and reports the mean of requests (samples of each tick) and all tracked flows.

--- a/core/jpdispatch/capacity.go
+++ b/core/jpdispatch/capacity.go
@@ -6,6 +6,27 @@
 	"jacinthpass/core/jpcapacity"
 )
 
+const (
+	// poolInterval is how long the servers of a pool are taken to be the same.
+	poolInterval = 100 * time.Millisecond
+
+	// loadInterval is the time between two reports of a peer. Reports that arrive
+	// within it after a pause may have waited.
+	loadInterval = 500 * time.Millisecond
+)
+
+// pool holds the servers that an instance may give new flows of a service to: the
+// available ones of its data centre or, if there are none, of all.
+type pool struct {
+	servers   []*server
+	remote    bool // they are in other data centres
+	slots     float64
+	requests  int       // of this instance at these servers, without a response yet
+	reported  float64   // of the peer whose loads are being read
+	refreshAt time.Time // when servers has to be collected again
+	estimator jpcapacity.Estimator
+}
+
 // Fullness estimates how full a service is, for logs and metrics. It returns false if the
 // manifest does not have the service.
 func (ds *Dispatcher) Fullness(now time.Time, name string) (jpcapacity.Estimate, bool) {
@@ -17,20 +38,103 @@
 }
 
 // fullness estimates how full the servers of a service are to which this instance may
-// give new flows: the available ones of its data centre or, if there are none, of all.
+// give new flows.
 func (ds *Dispatcher) fullness(now time.Time, sc *service) jpcapacity.Estimate {
-	es := jpcapacity.Estimate{Instances: float64(ds.position.LocalCount), Seen: 1, OldestAt: now}
+	pl := ds.poolOf(now, sc)
+	use := jpcapacity.Use{Slots: pl.slots, Requests: pl.requests, Instances: ds.position.LocalCount}
+	if pl.remote {
+		use.Instances, use.Unheard = ds.position.Count, ds.position.Count > ds.position.LocalCount
+	}
+	return pl.estimator.Estimate(now, use)
+}
+
+// poolOf returns the pool of a service, at most poolInterval old.
+func (ds *Dispatcher) poolOf(now time.Time, sc *service) *pool {
+	pl := sc.pool
+	if now.Before(pl.refreshAt) {
+		return pl
+	}
+	pl.refreshAt = now.Add(poolInterval)
+	for _, sr := range pl.servers {
+		if sr.pool == pl {
+			sr.pool = nil
+		}
+	}
+	pl.servers, pl.slots, pl.requests = pl.servers[:0], 0, 0
 	for ix, sr := range sc.servers {
-		if ix == sc.local && es.Slots > 0 {
+		if ix == sc.local && len(pl.servers) > 0 {
 			break
 		}
-		if ds.eligible(now, sc, sr) && ds.available(now, sc, sr) {
-			es.Slots += ds.concurrency(now, sr)
-			es.Own += float64(sr.requests)
+		if !ds.eligible(now, sc, sr) || !ds.available(now, sc, sr) {
+			continue
+		}
+		pl.remote = ix >= sc.local
+		pl.servers = append(pl.servers, sr)
+		pl.slots += ds.concurrency(now, sr)
+		pl.requests += sr.requests
+		sr.pool = pl
+	}
+	return pl
+}
+
+// addRequests changes the number of this instance's requests at a server.
+func (sr *server) addRequests(change int) {
+	sr.requests += change
+	if sr.pool != nil {
+		sr.pool.requests += change
+	}
+}
+
+// sampleRequests adds the current numbers of requests to what the next report of this
+// instance averages.
+func (ds *Dispatcher) sampleRequests() {
+	ds.requestSamples++
+	for _, sc := range ds.services {
+		for _, sr := range sc.servers {
+			sr.requestSum += sr.requests
+		}
+	}
+}
+
+// takeMeanRequests returns the mean number of requests at a server since the last call,
+// from the samples of sampleRequests.
+func (sr *server) takeMeanRequests(samples int) float64 {
+	sum := sr.requestSum
+	sr.requestSum = 0
+	if samples == 0 {
+		return float64(sr.requests)
+	}
+	return float64(sum) / float64(samples)
+}
+
+// reportRequests stores how many requests a peer has in each pool. After a pause, reports
+// may have waited, so they count again after an interval.
+func (ds *Dispatcher) reportRequests(now time.Time, peer string, loads []Load) {
+	if !ds.evidenceSince.IsZero() && now.Sub(ds.evidenceSince) < loadInterval {
+		return
+	}
+	for _, sc := range ds.services {
+		ds.poolOf(now, sc).reported = 0
+	}
+	for _, ld := range loads {
+		if sr := ds.serversByTag[ld.Tag]; sr != nil && sr.pool != nil {
+			sr.pool.reported += ld.Requests
+		}
+	}
+	for _, sc := range ds.services {
+		sc.pool.estimator.Report(now, peer, sc.pool.reported)
+	}
+}
+
+// forgetRequests drops what is known of requests from before a pause of this process.
+func (ds *Dispatcher) forgetRequests() {
+	ds.requestSamples = 0
+	for _, sc := range ds.services {
+		sc.pool.estimator.Forget()
+		for _, sr := range sc.servers {
+			sr.requestSum = 0
 		}
 	}
-	es.Requests = es.Own * es.Instances
-	return es
 }
 
 // concurrency returns how many requests a server takes well at a time.
--- a/core/jpdispatch/dispatcher.go
+++ b/core/jpdispatch/dispatcher.go
@@ -73,6 +73,7 @@
 	nextExpiry     time.Time
 	observedAt     time.Time // latest call of Observe
 	observedDay    time.Time // time of day of that call
+	requestSamples int       // see sampleRequests
 	evidenceSince  time.Time // observations of servers before this time are ignored
 }
 
@@ -80,6 +81,7 @@
 	cfg     jpdirectory.Service
 	servers []*server // of this instance's data centre first
 	local   int       // number of servers in this instance's data centre
+	pool    *pool
 }
 
 // New returns the dispatcher of an instance in a data centre.
@@ -160,8 +162,12 @@
 		ds.routes[mf.Routes[ix].Address] = &mf.Routes[ix]
 	}
 	services := map[string]*service{}
-	for _, sc := range mf.Services {
-		services[sc.Name] = &service{cfg: sc}
+	for _, cfg := range mf.Services {
+		sc := &service{cfg: cfg, pool: &pool{}}
+		if previous := ds.services[cfg.Name]; previous != nil {
+			sc.pool = previous.pool
+		}
+		services[cfg.Name] = sc
 	}
 	ds.services = services
 }
@@ -287,6 +293,7 @@
 	}
 	for _, sc := range ds.services {
 		sc.sortServers()
+		sc.pool.refreshAt = time.Time{}
 	}
 }
 
--- a/core/jpdispatch/flow.go
+++ b/core/jpdispatch/flow.go
@@ -70,7 +70,7 @@
 func (fl *flow) beginRequest() {
 	if !fl.requesting && fl.server != nil {
 		fl.requesting = true
-		fl.server.requests++
+		fl.server.addRequests(1)
 	}
 }
 
@@ -78,7 +78,7 @@
 func (fl *flow) endRequest() {
 	if fl.requesting {
 		fl.requesting = false
-		fl.server.requests--
+		fl.server.addRequests(-1)
 	}
 }
 
--- a/core/jpdispatch/server.go
+++ b/core/jpdispatch/server.go
@@ -100,6 +100,8 @@
 	dataCentreBackAt time.Time // when its data centre came back into service
 	activeFlows      int       // flows of this instance that count as load
 	requests         int       // flows of this instance with a request that has no response yet
+	requestSum       int       // of requests, over the samples since the last report
+	pool             *pool     // that counts requests, nil if none does
 	trackedFlows     int       // flow table entries of this instance
 	peerLoads        map[string]peerLoad
 	peerFlows        int       // sum of peerLoads
@@ -256,19 +258,25 @@
 func (ds *Dispatcher) Loads() []Load {
 	var list []Load
 	for _, sr := range ds.servers {
-		if flows := sr.localLoad(ds.lastTick); sr.present && flows > 0 {
-			list = append(list, Load{Tag: sr.tag, Flows: flows})
+		ld := Load{
+			Tag: sr.tag, Flows: sr.localLoad(ds.lastTick), Held: sr.trackedFlows,
+			Requests: sr.takeMeanRequests(ds.requestSamples),
+		}
+		if sr.present && (ld.Flows > 0 || ld.Held > 0 || ld.Requests > 0) {
+			list = append(list, ld)
 		}
 	}
+	ds.requestSamples = 0
 	slices.SortFunc(list, func(a, b Load) int { return cmp.Compare(a.Tag, b.Tag) })
 	return list
 }
 
-// HandleLoads stores the loads that a peer reported.
+// HandleLoads stores the loads that a peer of the data centre reported.
 func (ds *Dispatcher) HandleLoads(now time.Time, peer string, loads []Load) {
 	for _, ld := range loads {
 		if sr := ds.serversByTag[ld.Tag]; sr != nil {
 			sr.setPeerLoad(now, peer, ld.Flows)
 		}
 	}
+	ds.reportRequests(now, peer, loads)
 }
--- a/core/jpdispatch/tick.go
+++ b/core/jpdispatch/tick.go
@@ -31,6 +31,7 @@
 // It must be called ten times a second.
 func (ds *Dispatcher) Tick(now time.Time) []ResetPacket {
 	ds.lastTick = now
+	ds.sampleRequests()
 	if !now.Before(ds.nextExpiry) {
 		ds.nextExpiry = now.Add(expiryInterval)
 		ds.expire(now)
@@ -90,6 +91,7 @@
 // that packets sent before do not count against servers.
 func (ds *Dispatcher) NotePause(now time.Time) {
 	ds.evidenceSince = now
+	ds.forgetRequests()
 }
 
 // resetIfLost returns the reset of an open flow whose server is lost, so that the
--- a/io/jpentry/control.go
+++ b/io/jpentry/control.go
@@ -259,10 +259,10 @@
 		en.directory.Confirm(ds.Revision, ps.currentAt)
 	}
 	en.statuses[from] = ps
-	en.dispatcher.HandleLoads(now, from, ds.Loads)
 	local := en.inDataCentre(from)
 	var checks []jpdispatch.Check
 	if local {
+		en.dispatcher.HandleLoads(now, from, ds.Loads)
 		checks = en.dispatcher.HandleSilentServers(now, from, ds.SilentServers)
 	}
 	revision := en.directory.Revision()
