--- a/core/jpadmission/queue.go
+++ b/core/jpadmission/queue.go
@@ -7,7 +7,8 @@
 )
 
 // assuredInterval is the number of releases of which one goes to a priority other than
-// the highest that waits, so that no priority starves.
+// the highest that waits, so that no priority starves. One whose requests on open flows
+// are that share already needs none.
 const assuredInterval = 8
 
 // Item is a request for admission that waits.
@@ -38,12 +39,18 @@
 	priority   int
 	items      []Item[K]
 	rate       rate // of its releases while it has items
+	requests   rate // of all requests of the priority
 	releasedAt uint64
 }
 
 // NewQueue returns a queue of at most limit items.
 func NewQueue[K comparable](limit int) *Queue[K] { return &Queue[K]{limit: limit} }
 
+// Waits reports whether an item of a priority waits that can still meet its target.
+func (qu *Queue[K]) Waits(priority int) bool {
+	return slices.ContainsFunc(qu.lanes, func(ln *lane[K]) bool { return !ln.late && ln.priority == priority && len(ln.items) > 0 })
+}
+
 // Len returns the number of items.
 func (qu *Queue[K]) Len() int { return qu.length }
 
@@ -71,6 +78,13 @@
 	return ln != nil
 }
 
+// NoteRequest counts a request of a priority, on a new flow or an open one.
+func (qu *Queue[K]) NoteRequest(now time.Time, priority int) {
+	ln := qu.lane(now, false, priority)
+	ln.requests.advance(now, true)
+	ln.requests.add()
+}
+
 // Next returns the item to release next among those that ready selects, and whether it is
 // the turn of a priority below the highest one.
 func (qu *Queue[K]) Next(now time.Time, ready func(K) bool) (it Item[K], assured, ok bool) {
@@ -184,6 +198,7 @@
 	var late []Item[K]
 	for _, ln := range qu.lanes {
 		ln.rate.advance(now, len(ln.items) > 0)
+		ln.requests.advance(now, true)
 		if ln.late {
 			continue
 		}
@@ -201,14 +216,7 @@
 }
 
 func (qu *Queue[K]) insert(now time.Time, it Item[K]) {
-	late := now.After(it.Deadline)
-	ix, found := slices.BinarySearchFunc(qu.lanes, it, func(ln *lane[K], it Item[K]) int {
-		return compareLanes(ln.late, ln.priority, late, it.Priority)
-	})
-	if !found {
-		qu.lanes = slices.Insert(qu.lanes, ix, &lane[K]{late: late, priority: it.Priority, rate: rate{at: now}})
-	}
-	ln := qu.lanes[ix]
+	ln := qu.lane(now, now.After(it.Deadline), it.Priority)
 	// Behind those of the same deadline.
 	at, _ := slices.BinarySearchFunc(ln.items, it, func(other, it Item[K]) int {
 		return cmp.Or(compareDeadlines(other, it), -1)
@@ -217,6 +225,17 @@
 	qu.length++
 }
 
+// lane returns a lane, which it adds if necessary.
+func (qu *Queue[K]) lane(now time.Time, late bool, priority int) *lane[K] {
+	ix, found := slices.BinarySearchFunc(qu.lanes, priority, func(ln *lane[K], priority int) int {
+		return compareLanes(ln.late, ln.priority, late, priority)
+	})
+	if !found {
+		qu.lanes = slices.Insert(qu.lanes, ix, &lane[K]{late: late, priority: priority, rate: rate{at: now}, requests: rate{at: now}})
+	}
+	return qu.lanes[ix]
+}
+
 // remove removes the item with a key and returns its lane, or nil if there is none.
 func (qu *Queue[K]) remove(key K) *lane[K] {
 	for _, ln := range qu.lanes {
@@ -246,7 +265,14 @@
 	var chosen Item[K]
 	var from *lane[K]
 	first := qu.firstLane()
+	total := 0.0
 	for _, ln := range qu.lanes {
+		total += ln.requests.sum
+	}
+	for _, ln := range qu.lanes {
+		if ln.requests.sum*assuredInterval > total {
+			continue
+		}
 		if ln.late || ln == first || from != nil && ln.releasedAt >= from.releasedAt {
 			continue
 		}
--- a/core/jpdispatch/admit.go
+++ b/core/jpdispatch/admit.go
@@ -6,22 +6,10 @@
 	"time"
 
 	"jacinthpass/core/jpadmission"
-	"jacinthpass/core/jpcapacity"
 	"jacinthpass/core/jpdirectory"
 )
 
 const (
-	// learningTime is how long this instance observes flows and its peers' reports,
-	// after its start and after a pause, before it takes a service for full.
-	learningTime = 2 * reportInterval
-
-	// maxReportAge is the age above which a report says nothing about how full a
-	// service is now: a request takes less.
-	maxReportAge = 4 * reportInterval
-
-	// reportInterval separates the reports of a peer.
-	reportInterval = 500 * time.Millisecond
-
 	// retryPercent is the share of repeated attempts among those that wait at a full
 	// service, in percent of its new flows.
 	retryPercent = 10
@@ -32,6 +20,7 @@
 	queue     *jpadmission.Queue[FlowKey]
 	retries   jpadmission.RetryBudget
 	usual     jpadmission.UsualTime
+	limits    jpadmission.Limits
 	checkedAt time.Time // latest time at which releases were considered
 }
 
@@ -41,7 +30,6 @@
 	waiters  map[FlowKey]*waiter
 	ended    []Released // waits that have ended since the last call of Release
 	refusals jpadmission.Refusals[callerRoute]
-	since    time.Time // first new flow
 	reviewAt time.Time // next search for waits that have become hopeless
 	stopped  bool
 }
@@ -69,9 +57,6 @@
 // placed: another instance may have placed the flow, so a refusal might not be true.
 func (ds *Dispatcher) admit(now time.Time, rt *jpdirectory.Route, sc *service, pk Packet, fl *flow) (Decision, bool) {
 	am := &ds.admission
-	if am.since.IsZero() {
-		am.since = now
-	}
 	if rt.TargetLatency <= 0 || fl != nil || pk.released || pk.Ack > 0 || am.stopped {
 		return Decision{}, false
 	}
@@ -80,8 +65,9 @@
 	if !repeated {
 		gt.retries.Deposit()
 	}
+	gt.observe(now, sc)
 	es := ds.fullness(now, sc)
-	if !ds.knowsFullness(now, es) || gt.queue.Len() == 0 && es.Room(gt.perSlot(sc, rt, false)) > 0 {
+	if es.Guess || gt.queue.Len() == 0 && es.Room(gt.perSlot(sc, rt, false)) > 0 {
 		return Decision{}, false
 	}
 	it := gt.itemOf(now, rt, pk)
@@ -94,18 +80,6 @@
 	return ds.wait(now, sc, gt, pk, it), true
 }
 
-// knowsFullness reports whether an estimate is based on enough to take a service for
-// full: reports of peers, unless there are none, that are not old, and a time in which
-// this instance has seen the flows that come to it.
-func (ds *Dispatcher) knowsFullness(now time.Time, es jpcapacity.Estimate) bool {
-	since := ds.admission.since
-	if ds.evidenceSince.After(since) {
-		since = ds.evidenceSince
-	}
-	return es.Slots > 0 && now.Sub(since) >= learningTime && now.Sub(es.OldestAt) <= maxReportAge &&
-		(es.Seen > 1 || es.Instances <= 1)
-}
-
 // perSlot returns how many requests for each slot a service may have when a flow of a
 // route is added. An assured release is one in the place of a flow of the highest priority.
 func (gt *gate) perSlot(sc *service, rt *jpdirectory.Route, assured bool) float64 {
@@ -113,7 +87,12 @@
 	if assured {
 		rank = 0
 	}
-	return jpadmission.PerSlot(rt.TargetLatency, gt.usual.Get(), rank, len(sc.ranks))
+	return gt.limits.PerSlot(rt.TargetLatency, gt.usual.Get(), rank, len(sc.ranks))
+}
+
+// observe tells the limits whether flows of the highest priority wait.
+func (gt *gate) observe(now time.Time, sc *service) {
+	gt.limits.Observe(now, len(sc.ranks) > 0 && gt.queue.Waits(sc.ranks[0]))
 }
 
 // rankPriorities sets the priorities of the routes that state a latency target, for each
@@ -151,6 +130,14 @@
 	return at
 }
 
+// noteRequest counts a request that a caller sends.
+func (ds *Dispatcher) noteRequest(now time.Time, pk Packet, sr *server) {
+	gt, rt := ds.admission.gates[sr.cfg.Service], ds.routes[pk.Route]
+	if gt != nil && rt != nil {
+		gt.queue.NoteRequest(now, rt.Priority)
+	}
+}
+
 // noteResponse records the response time of a request.
 func (ds *Dispatcher) noteResponse(now time.Time, fl *flow) {
 	gt := ds.admission.gates[fl.server.cfg.Service]
--- a/core/jpdispatch/handle.go
+++ b/core/jpdispatch/handle.go
@@ -290,6 +290,7 @@
 	case !fl.awaitingAnswer:
 		fl.awaitingAnswer, fl.pendingEnd, fl.sentAt = true, end, now
 		fl.beginRequest()
+		ds.noteRequest(now, pk, sr)
 	case int32(end-fl.pendingEnd) > 0:
 		fl.pendingEnd = end
 	case ds.answerDue(now, fl.sentAt):
--- a/core/jpdispatch/wait.go
+++ b/core/jpdispatch/wait.go
@@ -146,7 +146,7 @@
 	limited := sc != nil && !ds.admission.stopped
 	if limited {
 		es := ds.fullness(now, sc)
-		limited = ds.knowsFullness(now, es)
+		limited = !es.Guess
 		for limited && ds.releaseOne(now, gt, func(wt *waiter, assured bool) bool {
 			rt := ds.routes[wt.packet.Route]
 			return rt == nil || rt.TargetLatency <= 0 || es.Room(gt.perSlot(sc, rt, assured)) > 0
@@ -155,6 +155,9 @@
 			es.Requests++
 		}
 	}
+	if sc != nil {
+		gt.observe(now, sc)
+	}
 	for !limited && ds.releaseOne(now, gt, func(*waiter, bool) bool { return true }) {
 	}
 }
