--- a/core/jpadmission/limit.go
+++ b/core/jpadmission/limit.go
@@ -6,7 +6,7 @@
 // idle until the next ones arrive; with too many, they reject some.
 var (
 	maxPerSlot = 3.0
-	minPerSlot = 1.5
+	minPerSlot = 2.0
 )
 
 const (
--- a/core/jpadmission/usual.go
+++ b/core/jpadmission/usual.go
@@ -27,4 +27,3 @@
 
 // Get returns the usual response time, 0 if it is not known.
 func (ut *UsualTime) Get() time.Duration { return ut.time }
-
--- a/core/jpdispatch/admit.go
+++ b/core/jpdispatch/admit.go
@@ -111,16 +111,14 @@
 	}
 }
 
-// itemOf returns the item of a flow that would have to wait.
+// itemOf returns the item of a flow that would have to wait. It waits no longer than it
+// can be served in time: what is served late takes the place of others.
 func (gt *gate) itemOf(now time.Time, rt *jpdirectory.Route, pk Packet) jpadmission.Item[FlowKey] {
-	it := jpadmission.Item[FlowKey]{
+	inTime := rt.TargetLatency - gt.usual.Get()
+	return jpadmission.Item[FlowKey]{
 		Key: keyOf(pk), Priority: rt.Priority,
-		Deadline: now.Add(rt.TargetLatency - gt.usual.Get()), Expires: now.Add(maxWait),
+		Deadline: now.Add(inTime), Expires: now.Add(min(max(inTime, minWait), maxWait)),
 	}
-	if rt.Timeout > 0 {
-		it.Expires = earlier(it.Expires, now.Add(rt.Timeout-gt.usual.Get()))
-	}
-	return it
 }
 
 func earlier(at, other time.Time) time.Time {
--- a/core/jpdispatch/wait.go
+++ b/core/jpdispatch/wait.go
@@ -8,10 +8,14 @@
 )
 
 const (
-	// maxWait is how long a new flow may wait. A caller gives up 1.4 s after its first
-	// SYN; what remains is for the handshake.
+	// maxWait bounds the wait of a new flow. A caller gives up 1.4 s after its first SYN;
+	// what remains is for the handshake.
 	maxWait = 1200 * time.Millisecond
 
+	// minWait is how long a new flow may wait whose latency target is shorter. A caller
+	// that is refused sooner has no attempts left when a short burst is over.
+	minWait = 200 * time.Millisecond
+
 	// maxWaiting bounds the flows that wait for one service. With the packets that
 	// the instance keeps they take 0.5 MB.
 	maxWaiting = 1024
