--- a/core/jpadmission/limit.go
+++ b/core/jpadmission/limit.go
@@ -4,8 +4,8 @@
 
 // Bounds of a limit in requests for each slot. Without waiting requests, servers become
 // idle until the next ones arrive; with too many, they reject some.
-var (
-	maxPerSlot = 3.0
+const (
+	maxPerSlot = 4.0
 	minPerSlot = 2.0
 )
 
--- a/core/jpadmission/rate.go
+++ b/core/jpadmission/rate.go
@@ -11,7 +11,7 @@
 
 	// minRateWeight is the part of rateWindow that must have been observed for the rate
 	// to be known.
-	minRateWeight = 0.2
+	minRateWeight = 0.4
 )
 
 // rate is the moving average of the number of events per second. Its clock runs only
@@ -40,11 +40,11 @@
 
 func (rt *rate) add() { rt.sum++ }
 
-// perSecond returns the rate, and whether enough was observed to know it. It counts one
-// event more than there were, so that few observations don't make it too low.
+// perSecond returns the highest rate at which so few events are likely, and whether enough
+// was observed to know it.
 func (rt *rate) perSecond() (float64, bool) {
 	if rt.weight < minRateWeight {
 		return 0, false
 	}
-	return (rt.sum + 1) / (rt.weight * rateWindow.Seconds()), true
+	return (rt.sum + 2*math.Sqrt(rt.sum+1)) / (rt.weight * rateWindow.Seconds()), true
 }
