--- a/core/jpadmission/queue_test.go
+++ b/core/jpadmission/queue_test.go
@@ -119,14 +119,14 @@
 func TestQueueHopeless(t *testing.T) {
 	rows := []struct {
 		name     string
-		releases int // in the 500 ms before, 0 if none was possible
+		releases int // in the second before, 0 if none was possible
 		waiting  int // before the item
 		hopeless bool
 	}{
 		{"rate not known", 0, 90, false},
-		{"short queue", 50, 5, false},
-		{"long queue", 50, 90, true},
-		{"long queue, high rate", 200, 90, false},
+		{"short queue", 100, 5, false},
+		{"long queue", 100, 90, true},
+		{"long queue, high rate", 400, 90, false},
 	}
 	for _, row := range rows {
 		qu := NewQueue[string](1000)
@@ -134,11 +134,11 @@
 			qu.Add(at(0), item(fmt.Sprint(no), 1, 600_000))
 		}
 		for no := range row.releases {
-			now := at(no * 500 / row.releases)
+			now := at(no * 1000 / row.releases)
 			it, _, _ := qu.Next(now, anyKey)
 			qu.Release(now, it.Key)
 		}
-		now := at(500)
+		now := at(1000)
 		if row.releases == 0 {
 			now = at(0)
 		}
@@ -150,7 +150,7 @@
 		if got := len(qu.TakeHopeless(now)) == 1; got != row.hopeless {
 			t.Errorf("%s: taken %v, want %v", row.name, got, row.hopeless)
 		}
-		if expired := qu.TakeHopeless(at(1100)); !row.hopeless && len(expired) != 1 {
+		if expired := qu.TakeHopeless(at(1600)); !row.hopeless && len(expired) != 1 {
 			t.Errorf("%s: %d have expired, want 1", row.name, len(expired))
 		}
 	}
