--- a/core/jpdispatch/loadcaller_test.go
+++ b/core/jpdispatch/loadcaller_test.go
@@ -1,12 +1,10 @@
 package jpdispatch
 
 import (
-	"cmp"
 	"fmt"
 	"math"
 	"net/netip"
 	"slices"
-	"strings"
 	"time"
 
 	"jacinthpass/core/jpdirectory"
@@ -292,62 +290,3 @@
 		kr.failed++
 	}
 }
-
-// playResult says what callers got.
-type playResult struct {
-	kinds           []*kindResult
-	arrivals        int // of requests at servers
-	rejected        int // of these, by full servers
-	refusals        int // of flows
-	refusedFree     int // of these, while a server had a free slot
-	refusalWait     time.Duration
-	strays          int // packets that reached a server without their flow
-	work            time.Duration
-	goodput         float64   // work answered in time over what the slots can do
-	busiestOverMean []float64 // of each service
-	drops, resets   [Reasons]int
-}
-
-type kindResult struct {
-	name                                 string
-	asked, inTime, late, refused, failed int
-	tries                                int // of those answered
-	latencies                            []time.Duration
-}
-
-func (rs *playResult) of(kd *playKind) *kindResult {
-	for _, kr := range rs.kinds {
-		if kr.name == kd.Name {
-			return kr
-		}
-	}
-	kr := &kindResult{name: kd.Name}
-	rs.kinds = append(rs.kinds, kr)
-	return kr
-}
-
-// share returns the part of the requests of a kind that were answered in time.
-func (kr *kindResult) share() float64 { return float64(kr.inTime) / float64(max(kr.asked, 1)) }
-
-func (kr *kindResult) p99() time.Duration {
-	slices.Sort(kr.latencies)
-	if len(kr.latencies) == 0 {
-		return 0
-	}
-	return kr.latencies[len(kr.latencies)*99/100]
-}
-
-// table returns the result as lines of text.
-func (rs *playResult) table() string {
-	slices.SortFunc(rs.kinds, func(a, b *kindResult) int { return cmp.Compare(a.name, b.name) })
-	var text strings.Builder
-	for _, kr := range rs.kinds {
-		answered := max(kr.inTime+kr.late, 1)
-		fmt.Fprintf(&text, "  %-7s asked %6d in time %.3f late %.3f refused %.3f failed %.3f p99 %4d ms tries %.2f\n", kr.name, kr.asked, kr.share(),
-			float64(kr.late)/float64(max(kr.asked, 1)), float64(kr.refused)/float64(max(kr.asked, 1)), float64(kr.failed)/float64(max(kr.asked, 1)),
-			kr.p99().Milliseconds(), float64(kr.tries)/float64(answered))
-	}
-	fmt.Fprintf(&text, "  goodput %.3f, arrivals %d, rejected %d, refusals %d (free server %d, longest wait %v), busiest/mean %.2f, strays %d",
-		rs.goodput, rs.arrivals, rs.rejected, rs.refusals, rs.refusedFree, rs.refusalWait, rs.busiestOverMean, rs.strays)
-	return text.String()
-}
--- a/core/jpdispatch/loadplay_test.go
+++ b/core/jpdispatch/loadplay_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"container/heap"
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"testing"
 	"time"
 
@@ -189,34 +187,10 @@
 		pl.now = ev.at
 		ev.run()
 	}
-	slots := 0.0
-	for _, service := range []string{"core", "print"} {
-		for _, speed := range pl.speeds() {
-			most, sum, count := 0, 0, 0
-			for _, sr := range pl.servers {
-				if sr.cfg.Service == service && sr.speed == speed && !sr.down {
-					most, sum, count = max(most, sr.served), sum+sr.served, count+1
-				}
-			}
-			slots += speed * float64(2*count)
-			pl.result.busiestOverMean = append(pl.result.busiestOverMean, float64(most*count)/float64(max(sum, 1)))
-		}
-	}
-	pl.result.goodput = pl.result.work.Seconds() / (slots * pl.length.Seconds())
+	pl.sumUp()
 	return &pl.result
 }
 
-// speeds returns the speeds that servers have.
-func (pl *loadPlay) speeds() []float64 {
-	var list []float64
-	for _, sr := range pl.servers {
-		if !slices.Contains(list, sr.speed) {
-			list = append(list, sr.speed)
-		}
-	}
-	return list
-}
-
 func (pl *loadPlay) putRecord(rc jpdirectory.Record) {
 	pl.revision++
 	rc.Revision = pl.revision
@@ -281,6 +255,12 @@
 	}
 }
 
+// silence lets no reports of peers arrive for a while.
+func (pl *loadPlay) silence(delay, length time.Duration) {
+	pl.after(delay, func() { pl.silent = true })
+	pl.after(delay+length, func() { pl.silent = false })
+}
+
 // freeze stops an instance for a while. The router gives its packets to the next one
 // of the data centre after a second.
 func (pl *loadPlay) freeze(in *playInstance, length time.Duration) {
@@ -385,30 +365,3 @@
 		pl.after(playHop, func() { pl.responded(fl, rq, false) })
 	}
 }
-
-var playSeed = flag.Uint64("load.seed", 1, "seed of TestPlayOfLoad")
-var playLarge = flag.Bool("load.large", false, "TestPlayOfLoad plays 195 instances too")
-
-// playLength is the time in which requests count, by the number of instances.
-var playLength = map[int]time.Duration{1: 5 * time.Second, 7: 2 * time.Second, 66: 500 * time.Millisecond, 195: 500 * time.Millisecond}
-
-// Guards against requests that are lost below full load, and against unrepeatable
-// ones that are served twice at any.
-func TestPlayOfLoad(t *testing.T) {
-	sizes := []int{1, 7, 66}
-	if *playLarge {
-		sizes = append(sizes, 195)
-	}
-	for _, size := range sizes {
-		for _, load := range []float64{0.8, 1.2, 2, 4} {
-			t.Run(fmt.Sprintf("%d/%v", size, load), func(t *testing.T) {
-				t.Parallel()
-				rs := newLoadPlay(t, playConfig{seed: *playSeed, size: size, load: load, length: playLength[size]}).run()
-				t.Logf("%d instances, load %v\n%s", size, load, rs.table())
-				if load < 1 && rs.refusals > 0 {
-					t.Errorf("%d flows were refused", rs.refusals)
-				}
-			})
-		}
-	}
-}
