--- a/core/jpdispatch/dispatcher.go
+++ b/core/jpdispatch/dispatcher.go
@@ -59,6 +59,8 @@
 	idleTimeout    time.Duration
 	routes         map[netip.AddrPort]*jpdirectory.Route
 	services       map[string]*service
+	splits         map[netip.AddrPort]split   // by address of the route
+	spills         map[string]*spill          // by names of the services
 	servers        map[string]*server         // by id
 	former         map[string][]*server       // earlier processes of servers by id, latest last
 	arrivals       uint64                     // servers that have come so far
@@ -164,6 +166,7 @@
 		services[sc.Name] = &service{cfg: sc}
 	}
 	ds.services = services
+	ds.assignSplits(mf)
 }
 
 // applyDataCentreOut sets whether a data centre is out of service. When it
--- a/core/jpdispatch/handle.go
+++ b/core/jpdispatch/handle.go
@@ -15,7 +15,9 @@
 		return Decision{Outcome: Hold, Reason: NotReady}
 	}
 	if pk.Flags&SYN != 0 {
-		return ds.handleSYN(now, pk)
+		dc := ds.handleSYN(now, pk)
+		dc.SpilledFrom = ds.spilledFrom(pk, dc)
+		return dc
 	}
 	key := keyOf(pk)
 	fl := ds.flows.Get(key)
--- a/core/jpdispatch/packet.go
+++ b/core/jpdispatch/packet.go
@@ -101,6 +101,10 @@
 	Load    int   // load of the server in flows, of Placed and Moved
 	Choices int   // number of candidate servers, of Placed and Moved
 
+	// SpilledFrom is the service that a new flow would have got by the weights of its
+	// route if it goes to another one, and empty otherwise.
+	SpilledFrom string
+
 	// TagDiffers reports that an open flow's packet is forwarded to a server other
 	// than the one that its tag names.
 	TagDiffers bool
--- a/core/jpdispatch/tick.go
+++ b/core/jpdispatch/tick.go
@@ -31,6 +31,7 @@
 // It must be called ten times a second.
 func (ds *Dispatcher) Tick(now time.Time) []ResetPacket {
 	ds.lastTick = now
+	ds.adjustSpills(now)
 	if !now.Before(ds.nextExpiry) {
 		ds.nextExpiry = now.Add(expiryInterval)
 		ds.expire(now)
--- a/io/jpentry/metrics.go
+++ b/io/jpentry/metrics.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -27,6 +28,7 @@
 	packetsByReason [jpdispatch.Reasons]atomic.Uint64
 	resetsByReason  [jpdispatch.Reasons]atomic.Uint64 // of open flows
 	tagDiffers      atomic.Uint64
+	spilled         sync.Map // *atomic.Uint64 by service that the weights had selected
 	malformed       atomic.Uint64
 	droppedNotReady atomic.Uint64 // packets for which HoldQueue had no room
 	readErrors      atomic.Uint64
@@ -73,6 +75,10 @@
 	if dc.Outcome == jpdispatch.Reset {
 		mt.resetsByReason[dc.Reason].Add(1)
 	}
+	if dc.SpilledFrom != "" {
+		count, _ := mt.spilled.LoadOrStore(dc.SpilledFrom, new(atomic.Uint64))
+		count.(*atomic.Uint64).Add(1)
+	}
 	if dc.TagDiffers {
 		mt.tagDiffers.Add(1)
 	}
@@ -115,6 +121,11 @@
 		name := jpdispatch.CheckResult(result).String()
 		reportCounter("checks_total", map[string]string{"result": name}, name, mt.checksByResult[result].Load())
 	}
+	mt.spilled.Range(func(service, count any) bool {
+		name := service.(string)
+		reportCounter("spilled_flows_total", map[string]string{"service": name}, name, count.(*atomic.Uint64).Load())
+		return true
+	})
 	for _, ct := range []struct {
 		name string
 		from *atomic.Uint64
--- a/io/jpentry/packets.go
+++ b/io/jpentry/packets.go
@@ -187,7 +187,7 @@
 	klog.InfoS("dispatch: "+dc.Reason.String(),
 		"outcome", outcomeName(dc.Outcome), "request", pk.Request,
 		"caller", pk.Caller, "route", pk.Route, "server", dc.Server.ID, "tag_differs", dc.TagDiffers,
-		"load", dc.Load, "choices", dc.Choices, "copies", synCopies(pk),
+		"load", dc.Load, "choices", dc.Choices, "copies", synCopies(pk), "spilled", dc.SpilledFrom,
 		"revision", revision, "age_ms", age.Milliseconds())
 }
 
