--- a/core/jpdispatch/split.go
+++ b/core/jpdispatch/split.go
@@ -73,7 +73,8 @@
 		es, _ := ds.Fullness(now, name)
 		switch {
 		case es.Slots > 0:
-			ld.Requests, ld.Slots, ld.Known = es.Requests, es.Slots, now.Sub(es.OldestAt) <= maxFullnessAge
+			ld.Requests, ld.Slots = es.Requests, es.Slots
+			ld.Known = now.Sub(es.OldestAt) <= maxFullnessAge
 		case ds.takesFlows(now, name):
 			ld.Slots = 1 // by servers that may not answer
 		}
