jpdispatch: an entry decides only on packets of its own flow

Cause: an entry kept of an earlier flow from the same port decided on the packets of the next one, whose SYN went to another instance: they went to the old server or were reset.

Change: an entry keeps the caller's highest sequence number. A packet whose sequence and acknowledgement numbers are both more than twice a full window away belongs to another flow, which its tag opens anew. In a living flow both differ as much only after many packets through other instances; its tag then leads to its server as at any instance without an entry.

--- a/core/jpdispatch/flow.go
+++ b/core/jpdispatch/flow.go
@@ -19,6 +19,11 @@
 	// maxTriedServers bounds the servers that are remembered as tried with the
 	// SYN of one flow.
 	maxTriedServers = 3
+
+	// sequenceWindow is how far a packet's sequence or acknowledgement number may be
+	// from the latest ones of its flow here: twice what an end may have in flight, 16
+	// packets of 1,200 bytes.
+	sequenceWindow = 2 * 16 * 1200
 )
 
 type flowState uint8
@@ -37,6 +42,7 @@
 	active         bool                    // counts as load of the server
 	requesting     bool                    // counts in server.requests
 	synSequence    uint32                  // sequence number of the SYN
+	sequence       uint32                  // highest sequence number of the caller, once open
 	lastAck        uint32                  // latest acknowledgement of the caller
 	pendingEnd     uint32                  // sequence number after the data that awaits an answer
 	awaitingAnswer bool                    // data was sent to the server and not answered
@@ -110,6 +116,29 @@
 	}
 }
 
+// mayHaveSent reports whether a packet may be one of this flow. Those of a later flow from
+// the same port have other sequence and acknowledgement numbers. After many packets through
+// other instances both may differ in the same flow too, whose tag then names its server.
+func (fl *flow) mayHaveSent(pk Packet) bool {
+	if fl.state == opening {
+		return inWindow(pk.Sequence, fl.synSequence)
+	}
+	return inWindow(pk.Sequence, fl.sequence) || fl.lastAck != 0 && inWindow(pk.Ack, fl.lastAck)
+}
+
+func inWindow(number, latest uint32) bool {
+	distance := int32(number - latest)
+	return -sequenceWindow <= distance && distance <= sequenceWindow
+}
+
+// noteSequence records the sequence number after a packet of the open flow.
+func (fl *flow) noteSequence(pk Packet) {
+	end := pk.Sequence + uint32(pk.Length)
+	if fl.lastAck == 0 || int32(end-fl.sequence) > 0 {
+		fl.sequence = end
+	}
+}
+
 func (fl *flow) hasTried(tag uint32) bool {
 	for _, tried := range fl.triedTags[:fl.triedCount] {
 		if tried == tag {
--- a/core/jpdispatch/handle.go
+++ b/core/jpdispatch/handle.go
@@ -21,6 +21,10 @@
 	}
 	key := keyOf(pk)
 	fl := ds.flows.Get(key)
+	if fl != nil && pk.Tag != 0 && !fl.mayHaveSent(pk) {
+		ds.removeFlow(key, fl) // the caller has reused the port, and the SYN went elsewhere
+		fl = nil
+	}
 	if ds.routes[pk.Route] == nil {
 		return ds.handleMissingRoute(now, key, fl, pk)
 	}
@@ -273,6 +277,7 @@
 // check that a retransmission requires.
 func (ds *Dispatcher) observe(now time.Time, fl *flow, pk Packet) Check {
 	sr := fl.server
+	fl.noteSequence(pk)
 	if pk.Flags&ACK != 0 && (fl.lastAck == 0 || int32(pk.Ack-fl.lastAck) > 0) {
 		if fl.lastAck != 0 && !ds.mayHaveWaited(pk) {
 			ds.noteAnswered(now, sr)
