--- a/core/jpdispatch/dispatcher.go
+++ b/core/jpdispatch/dispatcher.go
@@ -59,6 +59,8 @@
 	idleTimeout    time.Duration
 	routes         map[netip.AddrPort]*jpdirectory.Route
 	services       map[string]*service
+	splits         map[netip.AddrPort]split   // by address of the route
+	spills         map[string]*spill          // by names of the services
 	servers        map[string]*server         // by id
 	former         map[string][]*server       // earlier processes of servers by id, latest last
 	arrivals       uint64                     // servers that have come so far
@@ -129,6 +131,9 @@
 	if reassign {
 		ds.assignServers()
 	}
+	for _, sc := range ds.services {
+		sc.pool.refreshAt = time.Time{} // its servers may drain or be out
+	}
 }
 
 // SetFreshness sets the latest time at which the directory was up to date, and
@@ -170,6 +175,7 @@
 		services[cfg.Name] = sc
 	}
 	ds.services = services
+	ds.assignSplits(mf)
 }
 
 // applyDataCentreOut sets whether a data centre is out of service. When it
