--- a/core/jpdispatch/dispatcher.go
+++ b/core/jpdispatch/dispatcher.go
@@ -59,6 +59,8 @@
 	idleTimeout    time.Duration
 	routes         map[netip.AddrPort]*jpdirectory.Route
 	services       map[string]*service
+	splits         map[netip.AddrPort]split   // by address of the route
+	spills         map[string]*spill          // by names of the services
 	servers        map[string]*server         // by id
 	former         map[string][]*server       // earlier processes of servers by id, latest last
 	arrivals       uint64                     // servers that have come so far
@@ -132,6 +134,9 @@
 	if reassign {
 		ds.assignServers()
 	}
+	for _, sc := range ds.services {
+		sc.pool.refreshAt = time.Time{} // its servers may drain or be out
+	}
 }
 
 // SetFreshness sets the latest time at which the directory was up to date, and
@@ -174,6 +179,7 @@
 	}
 	ds.services = services
 	ds.rankPriorities()
+	ds.assignSplits(mf)
 }
 
 // applyDataCentreOut sets whether a data centre is out of service. When it
--- a/core/jpdispatch/packet.go
+++ b/core/jpdispatch/packet.go
@@ -107,6 +107,10 @@
 	Priority int           // of its route
 	Waited   time.Duration // so far
 
+	// SpilledFrom is the service that a new flow would have got by the weights of its
+	// route if it goes to another one, and empty otherwise.
+	SpilledFrom string
+
 	// TagDiffers reports that an open flow's packet is forwarded to a server other
 	// than the one that its tag names.
 	TagDiffers bool
