jpentry: a restarted instance forwards open flows before it has the manifest

Change: unless the whole system starts for the first time, an instance reads servers, routes and instances in this order, and forwards packets of open flows by their tags once it has the servers. New flows wait for the manifest as before.

--- a/core/jpdispatch/dispatcher.go
+++ b/core/jpdispatch/dispatcher.go
@@ -54,8 +54,9 @@
 	position       Position
 	peerReports    map[string]silentReport // by id of the peer
 	hasManifest    bool
-	currentAt      time.Time // latest time at which the directory was known to be up to date
-	storeUpSince   time.Time // start of the store's current uninterrupted availability
+	earlyServers   map[uint32]Endpoint // by tag; until there is a manifest, see ApplyEarly
+	currentAt      time.Time           // latest time at which the directory was known to be up to date
+	storeUpSince   time.Time           // start of the store's current uninterrupted availability
 	idleTimeout    time.Duration
 	routes         map[netip.AddrPort]*jpdirectory.Route
 	services       map[string]*service
@@ -136,6 +137,29 @@
 	}
 }
 
+// ApplyEarly applies the servers among records that were read before the manifest, and
+// reports whether there are any. Packets of open flows are forwarded to them; all else
+// waits for the manifest. The records have to be applied again with it.
+func (ds *Dispatcher) ApplyEarly(records []jpdirectory.Record) bool {
+	if ds.hasManifest {
+		return false
+	}
+	ds.earlyServers = map[uint32]Endpoint{}
+	for _, rc := range records {
+		if rc.Server != nil {
+			sr := newServer(*rc.Server)
+			ds.earlyServers[sr.tag] = sr.endpoint()
+		}
+	}
+	return len(ds.earlyServers) > 0
+}
+
+// MustHold reports whether a packet has to wait for the manifest.
+func (ds *Dispatcher) MustHold(pk Packet) bool {
+	_, known := ds.earlyServers[pk.Tag]
+	return !ds.hasManifest && (pk.Flags&SYN != 0 || !known)
+}
+
 // SetFreshness sets the latest time at which the directory was up to date, and
 // the time since which the store has been available without interruption.
 func (ds *Dispatcher) SetFreshness(currentAt, storeUpSince time.Time) {
@@ -160,7 +184,7 @@
 	if mf == nil {
 		return
 	}
-	ds.hasManifest = true
+	ds.hasManifest, ds.earlyServers = true, nil
 	ds.idleTimeout = mf.IdleTimeout
 	clear(ds.routes)
 	for ix := range mf.Routes {
--- a/core/jpdispatch/handle.go
+++ b/core/jpdispatch/handle.go
@@ -11,9 +11,12 @@
 
 // Handle decides what to do with a packet of a caller.
 func (ds *Dispatcher) Handle(now time.Time, pk Packet) Decision {
-	if !ds.hasManifest {
+	if ds.MustHold(pk) {
 		return Decision{Outcome: Hold, Reason: NotReady}
 	}
+	if !ds.hasManifest {
+		return Decision{Outcome: Forward, Reason: Tagged, Server: ds.earlyServers[pk.Tag]}
+	}
 	if pk.Flags&SYN != 0 {
 		dc := ds.handleSYN(now, pk)
 		dc.SpilledFrom = ds.spilledFrom(pk, dc)
--- a/core/jpdispatch/hold.go
+++ b/core/jpdispatch/hold.go
@@ -1,6 +1,9 @@
 package jpdispatch
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// holdTimeout is how long a packet waits for the directory of a starting
@@ -38,15 +41,17 @@
 	return true
 }
 
-// Take removes all packets and returns those that have not waited for too long, in
-// order of their arrival.
-func (hq *HoldQueue[P]) Take(now time.Time) []P {
+// Take removes the packets that are ready and those that have waited for too long, and
+// returns the former in order of their arrival.
+func (hq *HoldQueue[P]) Take(now time.Time, ready func(P) bool) []P {
 	var list []P
-	for _, hp := range hq.packets {
-		if now.Before(hp.expires) {
+	hq.packets = slices.DeleteFunc(hq.packets, func(hp heldPacket[P]) bool {
+		expired := !now.Before(hp.expires)
+		taken := !expired && ready(hp.packet)
+		if taken {
 			list = append(list, hp.packet)
 		}
-	}
-	hq.packets = nil
+		return expired || taken
+	})
 	return list
 }
--- a/core/jpdispatch/hold_test.go
+++ b/core/jpdispatch/hold_test.go
@@ -12,10 +12,14 @@
 	for no := range 5 {
 		hq.Add(at(200*no), no)
 	}
-	if taken := hq.Take(at(900)); !slices.Equal(taken, []int{2, 3, 4}) {
-		t.Errorf("packets %v, want those that arrived after 300 ms", taken)
+	if taken := hq.Take(at(900), func(no int) bool { return no == 3 }); !slices.Equal(taken, []int{3}) {
+		t.Errorf("packets %v, want the one that is ready", taken)
 	}
-	if taken := hq.Take(at(900)); len(taken) != 0 {
+	ready := func(int) bool { return true }
+	if taken := hq.Take(at(900), ready); !slices.Equal(taken, []int{2, 4}) {
+		t.Errorf("packets %v, want the others that arrived after 300 ms", taken)
+	}
+	if taken := hq.Take(at(900), ready); len(taken) != 0 {
 		t.Errorf("packets %v were taken twice", taken)
 	}
 	for range maxHeld {
--- a/core/jpdispatch/openflow_test.go
+++ b/core/jpdispatch/openflow_test.go
@@ -147,3 +147,33 @@
 	hn.setFresh(at(10_100))
 	hn.wantDecision(hn.Handle(at(10_100), nextPacket(syn, sr.Tag, 100)), Reset, ServerGone)
 }
+
+// Guards against packets of open flows that wait for a large manifest after all instances
+// have started again, and against new flows that don't.
+func TestServersBeforeManifest(t *testing.T) {
+	ds := New(localDC)
+	server := deskServer(7, localDC)
+	record := jpdirectory.Record{Key: jpdirectory.Key{Kind: jpdirectory.ServerRecord, Name: server.ID}, Server: &server}
+	if !ds.ApplyEarly([]jpdirectory.Record{record}) {
+		t.Fatal("the server is not known")
+	}
+	for _, tc := range []struct {
+		name string
+		pk   Packet
+		want Outcome
+	}{
+		{"open flow", Packet{Flags: ACK, Tag: 7, Length: 20}, Forward},
+		{"reset of an open flow", Packet{Flags: RST, Tag: 7}, Forward},
+		{"unknown tag", Packet{Flags: ACK, Tag: 8, Length: 20}, Hold},
+		{"no tag", Packet{Flags: ACK}, Hold},
+		{"new flow", Packet{Flags: SYN, Tag: 7}, Hold},
+	} {
+		if dc := ds.Handle(at(0), tc.pk); dc.Outcome != tc.want || tc.want == Forward && dc.Server.ID != server.ID {
+			t.Errorf("%s: %+v", tc.name, dc)
+		}
+	}
+	hn := newHarness(t)
+	if hn.ApplyEarly([]jpdirectory.Record{record}) || hn.MustHold(Packet{Flags: ACK, Tag: 7}) {
+		t.Error("early servers count beside a manifest")
+	}
+}
--- a/io/jpentry/packets.go
+++ b/io/jpentry/packets.go
@@ -147,10 +147,13 @@
 	en.metrics.droppedNotReady.Add(1)
 }
 
-// handleHeld handles the packets that were held.
+// handleHeld handles the packets that were held and that need not wait any more.
 func (en *Entry) handleHeld() {
 	en.mu.Lock()
-	packets := en.held.Take(time.Now())
+	packets := en.held.Take(time.Now(), func(packet heldPacket) bool {
+		pk, ok := en.platform.Codec.Parse(packet.data[en.platform.Codec.Headroom():])
+		return !ok || !en.dispatcher.MustHold(pk)
+	})
 	en.mu.Unlock()
 	if len(packets) == 0 {
 		return
--- a/io/jpentry/settings.go
+++ b/io/jpentry/settings.go
@@ -27,6 +27,7 @@
 	Store       netip.AddrPort
 	StopTimeout time.Duration // from the termination signal to the forced kill
 	MinLeaseTTL time.Duration // shortest lease that the store grants
+	FirstStart  bool          // the whole system starts for the first time, so that no flows are open
 	ChangeLimit time.Duration // from a change's acknowledgement by the store until it has to be in force, 0 if not stated
 }
 
@@ -39,9 +40,9 @@
 // Store is a client of the platform's store. A call that returns an error may
 // still have taken effect.
 type Store interface {
-	// ReadPage returns the records after a key, as many as the store puts into
-	// one page. An empty key starts with the first record.
-	ReadPage(ctx context.Context, after string) (Page, error)
+	// ReadPage returns the records of a scope after a key, as many as the store puts
+	// into one page. An empty key starts with the first record.
+	ReadPage(ctx context.Context, scope Scope, after string) (Page, error)
 	// Watch returns the changes after a revision as soon as there are any, or an
 	// update without records after the wait. The error is ErrHistoryGone if the
 	// store no longer has these changes, so that a full read is needed.
@@ -59,6 +60,17 @@
 	Close()
 }
 
+// Scope selects records of the store by their kind.
+type Scope uint8
+
+// Scopes.
+const (
+	AllRecords Scope = iota
+	ServerRecords
+	OperatorRecords // the manifest and the data centres that are out
+	InstanceRecords // may be seconds old
+)
+
 // Page is a page of the store's records.
 type Page struct {
 	Records  []jpdirectory.Record
--- a/io/jpentry/sync.go
+++ b/io/jpentry/sync.go
@@ -65,7 +65,7 @@
 func (en *Entry) syncDirectory(ctx context.Context) {
 	retryDelay := minRetryDelay
 	synced := false
-	read := newFullRead(time.Now())
+	read := newFullRead(time.Now(), scopesAtStart(en.settings.FirstStart)...)
 	for ctx.Err() == nil {
 		if wait := en.timeToWatch(time.Now()); synced && wait > 0 {
 			sleep(ctx, min(wait, watcherCheckInterval))
@@ -78,7 +78,7 @@
 			return
 		case errors.Is(err, ErrHistoryGone):
 			klog.InfoS("store: reading everything", "err", err)
-			synced, read = false, newFullRead(time.Now())
+			synced, read = false, newFullRead(time.Now(), AllRecords)
 		case err != nil:
 			en.handleStoreError(err)
 			sleep(ctx, retryDelay/2+rand.N(retryDelay))
@@ -100,7 +100,7 @@
 func (en *Entry) fetch(ctx context.Context, synced bool, fr *fullRead) (jpdirectory.Update, error) {
 	store := en.store.Load()
 	if !synced {
-		return fr.readRemaining(ctx, store)
+		return fr.readRemaining(ctx, store, en.handleEarly)
 	}
 	en.mu.Lock()
 	revision := en.directory.Revision()
@@ -116,17 +116,29 @@
 // one another by keeping the store busy.
 type fullRead struct {
 	update      jpdirectory.Update
-	after       string        // key after which the next page begins
+	scopes      []Scope       // that are not complete
+	after       string        // key after which the next page of the first of them begins
 	pageTimeout time.Duration // of the next page
 }
 
-func newFullRead(now time.Time) *fullRead {
-	return &fullRead{update: jpdirectory.Update{Full: true, CurrentAt: now}, pageTimeout: callTimeout}
+// scopesAtStart returns the scopes that a starting instance reads, in their order. Servers
+// come first if flows may be open: packets of these need nothing else, and the manifest can
+// take as long on a slow link as callers wait.
+func scopesAtStart(first bool) []Scope {
+	if first {
+		return []Scope{AllRecords}
+	}
+	return []Scope{ServerRecords, OperatorRecords, InstanceRecords}
+}
+
+func newFullRead(now time.Time, scopes ...Scope) *fullRead {
+	return &fullRead{update: jpdirectory.Update{Full: true, CurrentAt: now}, scopes: scopes, pageTimeout: callTimeout}
 }
 
-// readRemaining reads the missing pages. The update's revision is that of the
-// first page, so that a watch from it returns all changes made during the read.
-func (fr *fullRead) readRemaining(ctx context.Context, store Store) (jpdirectory.Update, error) {
+// readRemaining reads the missing pages and passes the records so far to early after each
+// scope but the last. The update's revision is that of the first page, so that a watch from
+// it returns all changes made during the read.
+func (fr *fullRead) readRemaining(ctx context.Context, store Store, early func([]jpdirectory.Record)) (jpdirectory.Update, error) {
 	for {
 		page, err := fr.readPage(ctx, store)
 		if err != nil {
@@ -138,16 +150,31 @@
 		}
 		fr.update.Records = append(fr.update.Records, page.Records...)
 		fr.after = page.Next
-		if fr.after == "" {
+		if fr.after != "" {
+			continue
+		}
+		if fr.scopes = fr.scopes[1:]; len(fr.scopes) == 0 {
 			return fr.update, nil
 		}
+		early(fr.update.Records)
 	}
 }
 
 func (fr *fullRead) readPage(ctx context.Context, store Store) (Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, fr.pageTimeout)
 	defer cancel()
-	return store.ReadPage(ctx, fr.after)
+	return store.ReadPage(ctx, fr.scopes[0], fr.after)
+}
+
+// handleEarly handles records that were read before the others of a full read, and the
+// packets that were held for them.
+func (en *Entry) handleEarly(records []jpdirectory.Record) {
+	en.mu.Lock()
+	early := en.dispatcher.ApplyEarly(records)
+	en.mu.Unlock()
+	if early {
+		en.handleHeld()
+	}
 }
 
 func (en *Entry) directoryKnown() bool {
