--- a/core/jpdispatch/handle.go
+++ b/core/jpdispatch/handle.go
@@ -17,6 +17,9 @@
 	if !ds.hasManifest {
 		return Decision{Outcome: Forward, Reason: Tagged, Server: ds.earlyServers[pk.Tag]}
 	}
+	if dc, waits := ds.handleWaiting(now, pk); waits {
+		return dc
+	}
 	if pk.Flags&SYN != 0 {
 		dc := ds.handleSYN(now, pk)
 		dc.SpilledFrom = ds.spilledFrom(pk, dc)
@@ -284,6 +287,7 @@
 	if pk.Flags&ACK != 0 && (fl.lastAck == 0 || int32(pk.Ack-fl.lastAck) > 0) {
 		if fl.lastAck != 0 && !ds.mayHaveWaited(pk) {
 			ds.noteAnswered(now, sr)
+			ds.noteResponse(now, fl)
 		}
 		fl.lastAck = pk.Ack
 		fl.clearWaiting()
@@ -296,6 +300,7 @@
 	case !fl.awaitingAnswer:
 		fl.awaitingAnswer, fl.pendingEnd, fl.sentAt = true, end, now
 		fl.beginRequest()
+		ds.noteRequest(now, pk, sr)
 	case int32(end-fl.pendingEnd) > 0:
 		fl.pendingEnd = end
 	case ds.answerDue(now, fl.sentAt):
