--- a/io/jpentry/entry_test.go
+++ b/io/jpentry/entry_test.go
@@ -124,13 +124,14 @@
 	}
 }
 
-// Guards against resets of open flows and packets to another server than their tags
-// say that no counter shows apart from other packets of the same reason.
+// Guards against resets of open flows, spilled flows and packets to another server than
+// their tags say that no counter shows apart from other packets of the same reason.
 func TestResetsAndOtherTagsAreCounted(t *testing.T) {
 	mt := newMetrics("127.0.0.1", "hobart")
 	mt.countDecision(jpdispatch.Decision{Outcome: jpdispatch.Reset, Reason: jpdispatch.UnknownTag})
 	mt.countDecision(jpdispatch.Decision{Outcome: jpdispatch.Drop, Reason: jpdispatch.UnknownTag})
 	mt.countDecision(jpdispatch.Decision{Outcome: jpdispatch.Forward, Reason: jpdispatch.Known, TagDiffers: true})
+	mt.countDecision(jpdispatch.Decision{Outcome: jpdispatch.Forward, Reason: jpdispatch.Placed, SpilledFrom: "desk"})
 	mt.countReset(jpdispatch.UnknownTag)
 	mt.checksByResult[jpdispatch.CheckTimedOut].Add(1)
 	scope := tally.NewTestScope("", nil)
@@ -138,7 +139,7 @@
 	counters := scope.Snapshot().Counters()
 	for name, want := range map[string]int64{
 		"packets_total+reason=unknown_tag": 3, "open_flow_resets_total+reason=unknown_tag": 2, "tag_differs_packets_total+": 1,
-		"checks_total+result=timed_out": 1,
+		"checks_total+result=timed_out": 1, "spilled_flows_total+service=desk": 1,
 	} {
 		if ct := counters[name]; ct == nil || ct.Value() != want {
 			t.Errorf("%s: %v, want %d", name, ct, want)
