--- a/core/jpdispatch/split.go
+++ b/core/jpdispatch/split.go
@@ -70,13 +70,10 @@
 	var loads []jpsplit.Load[string]
 	for _, name := range sp.services {
 		ld := jpsplit.Load[string]{Target: name}
-		es, _ := ds.Fullness(now, name)
-		switch {
-		case es.Slots > 0:
-			ld.Requests, ld.Slots = es.Requests, es.Slots
+		if ds.takesFlows(now, name) {
+			es, _ := ds.Fullness(now, name)
+			ld.Requests, ld.Slots = es.Requests, max(es.Slots, 1) // 0 if all may not answer
 			ld.Known = !es.Guess && now.Sub(es.OldestAt) <= maxFullnessAge
-		case ds.takesFlows(now, name):
-			ld.Slots = 1 // by servers that may not answer
 		}
 		loads = append(loads, ld)
 	}
