--- a/core/jpadmission/limit.go
+++ b/core/jpadmission/limit.go
@@ -5,19 +5,19 @@
 // Limits in requests for each slot. Without waiting requests, servers become idle until the
 // next ones arrive; with too many, they reject some.
 const (
-	highestLimit  = 4.0 // of the highest priority
+	highestLimit  = 5.0 // of the highest priority
 	lowestLimit   = 3.0 // of the lowest priority
-	reservedLimit = 1.5 // of the lowest priority while the highest one waits
+	reservedLimit = 2.0 // of the lowest priority while the highest one waits
 )
 
 const (
 	// reserveGrowth is the time in which the reserve of the higher priorities grows to
 	// its maximum while the highest one waits.
-	reserveGrowth = 300 * time.Millisecond
+	reserveGrowth = time.Second
 
 	// reserveDecay is the time in which it shrinks again, longer than most flows stay
 	// open: what is released meanwhile can't be held back any more.
-	reserveDecay = 10 * time.Second
+	reserveDecay = 5 * time.Second
 
 	// maxReserveStep bounds the time that one observation stands for.
 	maxReserveStep = 50 * time.Millisecond
--- a/core/jpadmission/usual.go
+++ b/core/jpadmission/usual.go
@@ -6,7 +6,7 @@
 // responses slower, so the usual time follows the fast ones.
 const (
 	fasterWeight = 0.1
-	slowerWeight = 0.01
+	slowerWeight = 0.002
 )
 
 // UsualTime is the usual response time of a service without queueing. The zero value
