--- a/core/jpadmission/limit.go
+++ b/core/jpadmission/limit.go
@@ -2,21 +2,22 @@
 
 import "time"
 
-// Bounds of a limit in requests for each slot. Without waiting requests, servers become
-// idle until the next ones arrive; with too many, they reject some.
+// Limits in requests for each slot. Without waiting requests, servers become idle until the
+// next ones arrive; with too many, they reject some.
 const (
-	maxPerSlot = 4.0
-	minPerSlot = 2.0
+	highestLimit  = 5.0 // of the highest priority
+	lowestLimit   = 3.0 // of the lowest priority
+	reservedLimit = 2.0 // of the lowest priority while the highest one waits
 )
 
 const (
 	// reserveGrowth is the time in which the reserve of the higher priorities grows to
 	// its maximum while the highest one waits.
-	reserveGrowth = 300 * time.Millisecond
+	reserveGrowth = time.Second
 
-	// reserveDecay is the time in which it shrinks again. Flows that are open for
-	// seconds take up what is released meanwhile.
-	reserveDecay = 3 * time.Second
+	// reserveDecay is the time in which it shrinks again, longer than most flows stay
+	// open: what is released meanwhile can't be held back any more.
+	reserveDecay = 5 * time.Second
 
 	// maxReserveStep bounds the time that one observation stands for.
 	maxReserveStep = 50 * time.Millisecond
@@ -42,16 +43,28 @@
 	}
 }
 
-// PerSlot returns the limit for a flow of a priority. A request queues at its server for
-// at most a quarter of its latency target. rank is that of the priority among the
-// priorities of the service, 0 for the highest.
-func (lm *Limits) PerSlot(target, usual time.Duration, rank, ranks int) float64 {
-	highest := maxPerSlot
-	if usual > 0 {
-		highest = min(1+target.Seconds()/(4*usual.Seconds()), maxPerSlot)
+// Class is what the limit for a flow depends on.
+type Class struct {
+	Target time.Duration // latency target
+	Usual  time.Duration // usual response time, 0 if not known
+	Rank   int           // of its priority among those of the service, 0 for the highest
+	Ranks  int           // number of priorities of the service
+	Late   bool          // it can't be served in time any more
+}
+
+// PerSlot returns the limit for a flow. A request queues at its server for at most a
+// quarter of its latency target. What is served late only takes what others leave.
+func (lm *Limits) PerSlot(cl Class) float64 {
+	limit := highestLimit
+	switch {
+	case cl.Late:
+		limit = reservedLimit
+	case cl.Rank > 0:
+		lowest := lowestLimit - (lowestLimit-reservedLimit)*lm.reserve
+		limit -= (highestLimit - lowest) * float64(cl.Rank) / float64(cl.Ranks-1)
 	}
-	if ranks <= 1 || highest <= minPerSlot {
-		return highest
+	if cl.Usual > 0 {
+		limit = min(limit, 1+cl.Target.Seconds()/(4*cl.Usual.Seconds()))
 	}
-	return highest - (highest-minPerSlot)*lm.reserve*float64(rank)/float64(ranks-1)
+	return limit
 }
