--- a/core/jpdispatch/loadcaller_test.go
+++ b/core/jpdispatch/loadcaller_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
@@ -13,6 +14,7 @@
 // playSession is a caller with a number of requests, one after another.
 type playSession struct {
 	kind   *playKind
+	rng    *rand.Rand // of its own, so that callers ask for the same whatever is decided
 	centre int
 	left   int
 	flow   *playFlow // open and kept, or nil
@@ -52,7 +54,9 @@
 }
 
 func (pl *loadPlay) startSession(kd *playKind, requests int) {
-	ss := &playSession{kind: kd, centre: pl.rng.IntN(len(pl.centres)), left: requests, next: pl.now}
+	pl.sessions++
+	rng := rand.New(rand.NewPCG(pl.seed, pl.sessions))
+	ss := &playSession{kind: kd, rng: rng, centre: rng.IntN(len(pl.centres)), left: requests, next: pl.now}
 	pl.nextRequest(ss)
 }
 
@@ -64,9 +68,9 @@
 	}
 	ss.left--
 	pl.after(max(ss.next.Sub(pl.now), 0), func() {
-		ss.next = ss.next.Add(pl.random(playGap/2, playGap*3/2))
+		ss.next = ss.next.Add(randomTime(ss.rng, playGap/2, playGap*3/2))
 		mean := float64(ss.kind.work) / math.Exp(ss.kind.sigma*ss.kind.sigma/2)
-		rq := &playRequest{playSession: ss, begun: pl.now, work: time.Duration(mean * math.Exp(ss.kind.sigma*pl.rng.NormFloat64()))}
+		rq := &playRequest{playSession: ss, begun: pl.now, work: time.Duration(mean * math.Exp(ss.kind.sigma*ss.rng.NormFloat64()))}
 		pl.result.of(ss.kind).asked += pl.counted(rq)
 		pl.pending += pl.counted(rq)
 		pl.after(ss.kind.Timeout, func() { pl.finish(rq, "failed") })
@@ -88,7 +92,7 @@
 	pl.flows++
 	caller := netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(pl.flows / 50_000), 7}), uint16(1024+pl.flows%50_000))
 	local := pl.centres[rq.centre]
-	syn := Packet{Caller: caller, Route: rq.kind.Address, Flags: SYN, Sequence: pl.rng.Uint32()}
+	syn := Packet{Caller: caller, Route: rq.kind.Address, Flags: SYN, Sequence: uint32(pl.flows) * 2654435769}
 	fl := &playFlow{syn: syn, in: local[flowHash(syn, 0)%uint64(len(local))], request: rq, answered: 1000}
 	rq.flow = fl
 	for no, delay := range []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond} {
--- a/core/jpdispatch/loadplay_test.go
+++ b/core/jpdispatch/loadplay_test.go
@@ -71,6 +71,7 @@
 	centres   [][]*playInstance
 	servers   []*playServer
 	byTag     map[uint32]*playServer
+	sessions  uint64
 	flows     int
 	silent    bool // no reports of peers arrive
 	revision  uint64
@@ -167,15 +168,15 @@
 	for _, kd := range pl.kinds {
 		pl.factor[kd.Name] = 1
 		for range int(pl.rate * kd.share * playGap.Seconds() * float64(kd.long-1) / float64(kd.long)) {
-			pl.after(pl.random(0, playGap), func() { pl.startSession(kd, 1+pl.rng.IntN(kd.long)) })
+			pl.after(randomTime(pl.rng, 0, playGap), func() { pl.startSession(kd, 1+pl.rng.IntN(kd.long)) })
 		}
 		pl.after(0, func() { pl.startSessions(kd) })
 	}
 	return pl
 }
 
-func (pl *loadPlay) random(low, high time.Duration) time.Duration {
-	return low + time.Duration(pl.rng.Int64N(int64(high-low)))
+func randomTime(rng *rand.Rand, low, high time.Duration) time.Duration {
+	return low + time.Duration(rng.Int64N(int64(high-low)))
 }
 
 func (pl *loadPlay) run() *playResult {
