--- a/core/jpdispatch/dispatcher.go
+++ b/core/jpdispatch/dispatcher.go
@@ -54,11 +54,14 @@
 	position       Position
 	peerReports    map[string]silentReport // by id of the peer
 	hasManifest    bool
-	currentAt      time.Time // latest time at which the directory was known to be up to date
-	storeUpSince   time.Time // start of the store's current uninterrupted availability
+	earlyServers   map[uint32]Endpoint // by tag; until there is a manifest, see ApplyEarly
+	currentAt      time.Time           // latest time at which the directory was known to be up to date
+	storeUpSince   time.Time           // start of the store's current uninterrupted availability
 	idleTimeout    time.Duration
 	routes         map[netip.AddrPort]*jpdirectory.Route
 	services       map[string]*service
+	splits         map[netip.AddrPort]split   // by address of the route
+	spills         map[string]*spill          // by names of the services
 	servers        map[string]*server         // by id
 	former         map[string][]*server       // earlier processes of servers by id, latest last
 	arrivals       uint64                     // servers that have come so far
@@ -129,6 +132,32 @@
 	if reassign {
 		ds.assignServers()
 	}
+	for _, sc := range ds.services {
+		sc.pool.refreshAt = time.Time{} // its servers may drain or be out
+	}
+}
+
+// ApplyEarly applies the servers among records that were read before the manifest, and
+// reports whether there are any. Packets of open flows are forwarded to them; all else
+// waits for the manifest. The records have to be applied again with it.
+func (ds *Dispatcher) ApplyEarly(records []jpdirectory.Record) bool {
+	if ds.hasManifest {
+		return false
+	}
+	ds.earlyServers = map[uint32]Endpoint{}
+	for _, rc := range records {
+		if rc.Server != nil {
+			sr := newServer(*rc.Server)
+			ds.earlyServers[sr.tag] = sr.endpoint()
+		}
+	}
+	return len(ds.earlyServers) > 0
+}
+
+// MustHold reports whether a packet has to wait for the manifest.
+func (ds *Dispatcher) MustHold(pk Packet) bool {
+	_, known := ds.earlyServers[pk.Tag]
+	return !ds.hasManifest && (pk.Flags&SYN != 0 || !known)
 }
 
 // SetFreshness sets the latest time at which the directory was up to date, and
@@ -155,7 +184,7 @@
 	if mf == nil {
 		return
 	}
-	ds.hasManifest = true
+	ds.hasManifest, ds.earlyServers = true, nil
 	ds.idleTimeout = mf.IdleTimeout
 	clear(ds.routes)
 	for ix := range mf.Routes {
@@ -170,6 +199,7 @@
 		services[cfg.Name] = sc
 	}
 	ds.services = services
+	ds.assignSplits(mf)
 }
 
 // applyDataCentreOut sets whether a data centre is out of service. When it
--- a/core/jpdispatch/handle.go
+++ b/core/jpdispatch/handle.go
@@ -11,14 +11,23 @@
 
 // Handle decides what to do with a packet of a caller.
 func (ds *Dispatcher) Handle(now time.Time, pk Packet) Decision {
-	if !ds.hasManifest {
+	if ds.MustHold(pk) {
 		return Decision{Outcome: Hold, Reason: NotReady}
 	}
+	if !ds.hasManifest {
+		return Decision{Outcome: Forward, Reason: Tagged, Server: ds.earlyServers[pk.Tag]}
+	}
 	if pk.Flags&SYN != 0 {
-		return ds.handleSYN(now, pk)
+		dc := ds.handleSYN(now, pk)
+		dc.SpilledFrom = ds.spilledFrom(pk, dc)
+		return dc
 	}
 	key := keyOf(pk)
 	fl := ds.flows.Get(key)
+	if fl != nil && pk.Tag != 0 && !fl.mayHaveSent(pk) {
+		ds.removeFlow(key, fl) // the caller has reused the port, and the SYN went elsewhere
+		fl = nil
+	}
 	if ds.routes[pk.Route] == nil {
 		return ds.handleMissingRoute(now, key, fl, pk)
 	}
@@ -271,6 +280,7 @@
 // check that a retransmission requires.
 func (ds *Dispatcher) observe(now time.Time, fl *flow, pk Packet) Check {
 	sr := fl.server
+	fl.noteSequence(pk)
 	if pk.Flags&ACK != 0 && (fl.lastAck == 0 || int32(pk.Ack-fl.lastAck) > 0) {
 		if fl.lastAck != 0 && !ds.mayHaveWaited(pk) {
 			ds.noteAnswered(now, sr)
--- a/core/jpdispatch/tick.go
+++ b/core/jpdispatch/tick.go
@@ -32,6 +32,7 @@
 func (ds *Dispatcher) Tick(now time.Time) []ResetPacket {
 	ds.lastTick = now
 	ds.sampleRequests()
+	ds.adjustSpills(now)
 	if !now.Before(ds.nextExpiry) {
 		ds.nextExpiry = now.Add(expiryInterval)
 		ds.expire(now)
