--- a/core/jpdispatch/loadcaller_test.go
+++ b/core/jpdispatch/loadcaller_test.go
@@ -15,6 +15,7 @@
 type playSession struct {
 	kind   *playKind
 	rng    *rand.Rand // of its own, so that callers ask for the same whatever is decided
+	caller netip.Addr
 	centre int
 	left   int
 	flow   *playFlow // open and kept, or nil
@@ -57,6 +58,8 @@
 	pl.sessions++
 	rng := rand.New(rand.NewPCG(pl.seed, pl.sessions))
 	ss := &playSession{kind: kd, rng: rng, centre: rng.IntN(len(pl.centres)), left: requests, next: pl.now}
+	host := rng.IntN(playHosts * pl.size / len(pl.centres))
+	ss.caller = netip.AddrFrom4([4]byte{100, byte(64 + ss.centre), byte(host >> 8), byte(host)})
 	pl.nextRequest(ss)
 }
 
@@ -90,7 +93,7 @@
 		return
 	}
 	pl.flows++
-	caller := netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(pl.flows / 50_000), 7}), uint16(1024+pl.flows%50_000))
+	caller := netip.AddrPortFrom(rq.caller, uint16(1024+pl.flows%60_000))
 	local := pl.centres[rq.centre]
 	syn := Packet{Caller: caller, Route: rq.kind.Address, Flags: SYN, Sequence: uint32(pl.flows) * 2654435769}
 	fl := &playFlow{syn: syn, in: local[flowHash(syn, 0)%uint64(len(local))], request: rq, answered: 1000}
--- a/core/jpdispatch/loadplay_test.go
+++ b/core/jpdispatch/loadplay_test.go
@@ -22,6 +22,7 @@
 	playGiveUp    = 1400 * time.Millisecond
 	playTries     = 3
 	playQueue     = 8
+	playHosts     = 18                     // addresses of callers for each instance
 	playLead      = 700 * time.Millisecond // at the start, without requests that count
 	playFreeFor   = 25 * time.Millisecond
 )
--- a/core/jpdispatch/loadresult_test.go
+++ b/core/jpdispatch/loadresult_test.go
@@ -44,6 +44,10 @@
 }
 
 // share returns the part of the requests of a kind that were answered in time.
+func (rs *playResult) share(name string) float64 {
+	return rs.kinds[slices.IndexFunc(rs.kinds, func(kr *kindResult) bool { return kr.name == name })].share()
+}
+
 func (kr *kindResult) share() float64 { return float64(kr.inTime) / float64(max(kr.asked, 1)) }
 
 func (kr *kindResult) p99() time.Duration {
@@ -107,8 +111,12 @@
 // playLength is the time in which requests count, by the number of instances.
 var playLength = map[int]time.Duration{1: 5 * time.Second, 7: 2 * time.Second, 66: 500 * time.Millisecond, 195: 500 * time.Millisecond}
 
-// goodputNoise is the part of the work that the ends of the counted time may add or take.
-const goodputNoise = 0.01
+// shareNoise is the part of a kind's few hundred requests that a play may take late by
+// chance. goodputNoise is the part of the work that the ends of the counted time may add or take.
+const (
+	shareNoise   = 0.03
+	goodputNoise = 0.01
+)
 
 // playRow is a play with the figures of eda5d93, which neither waited, refused nor spilled.
 type playRow struct {
@@ -117,49 +125,50 @@
 	load     float64
 	goodput  float64 // before
 	rejected float64 // before: share of arrivals
+	pass     float64 // before: share in time at the second service
 	urgent   float64 // least share in time of the highest priority, 0 where its own work exceeds the slots
 	faults   func(*loadPlay)
 }
 
 var playRows = []playRow{
-	{"load", 1, 0.8, 0.556, 0, 0.95, nil},
-	{"load", 1, 1.2, 0.803, 282. / 1087, 0.95, nil},
-	{"load", 1, 2, 1.003, 2240. / 3284, 0.95, nil},
-	{"load", 1, 4, 1.001, 7490. / 8530, 0, nil},
-	{"load", 7, 0.8, 0.779, 90. / 1861, 0.95, nil},
-	{"load", 7, 1.2, 0.966, 1686. / 3868, 0.95, nil},
-	{"load", 7, 2, 0.993, 7007. / 9234, 0.95, nil},
-	{"load", 7, 4, 0.994, 19641. / 22001, 0, nil},
-	{"load", 66, 0.8, 0.718, 56. / 3979, 0.95, nil},
-	{"load", 66, 1.2, 0.922, 3687. / 8894, 0.95, nil},
-	{"load", 66, 2, 0.976, 15411. / 20932, 0.95, nil},
-	{"load", 66, 4, 1.006, 45291. / 51042, 0, nil},
-	{"load", 195, 0.8, 0.704, 63. / 11358, 0.95, nil},
-	{"load", 195, 1.2, 0.961, 9347. / 24965, 0.95, nil},
-	{"load", 195, 2, 1.004, 46583. / 63120, 0.95, nil},
-	{"load", 195, 4, 1.002, 133964. / 151011, 0, nil},
-	{"one kind bursts", 7, 0.7, 0.962, 2229. / 4223, 0.95, func(pl *loadPlay) {
+	{"load", 1, 0.8, 0.554, 0, 1.000, 0.95, nil},
+	{"load", 1, 1.2, 0.803, 290. / 1101, 1.000, 0.95, nil},
+	{"load", 1, 2, 1.008, 2237. / 3263, 0.911, 0.95, nil},
+	{"load", 1, 4, 0.997, 7400. / 8470, 0.785, 0, nil},
+	{"load", 7, 0.8, 0.774, 118. / 1868, 1.000, 0.95, nil},
+	{"load", 7, 1.2, 0.968, 1529. / 3767, 0.939, 0.95, nil},
+	{"load", 7, 2, 1.003, 7013. / 9266, 0.747, 0.95, nil},
+	{"load", 7, 4, 1.003, 19628. / 21971, 0.457, 0, nil},
+	{"load", 66, 0.8, 0.710, 125. / 4020, 1.000, 0.95, nil},
+	{"load", 66, 1.2, 0.936, 3993. / 9141, 1.000, 0.95, nil},
+	{"load", 66, 2, 0.977, 15437. / 20960, 0.822, 0.95, nil},
+	{"load", 66, 4, 0.999, 45214. / 50928, 0.495, 0, nil},
+	{"load", 195, 0.8, 0.704, 63. / 11358, 1, 0.95, nil},
+	{"load", 195, 1.2, 0.961, 9347. / 24965, 1, 0.95, nil},
+	{"load", 195, 2, 1.004, 46583. / 63120, 0.799, 0.95, nil},
+	{"load", 195, 4, 1.002, 133964. / 151011, 0.53, 0, nil},
+	{"one kind bursts", 7, 0.7, 0.968, 2272. / 4276, 0.988, 0.95, func(pl *loadPlay) {
 		pl.after(playLead, func() { pl.factor["bag"] = 4 })
 	}},
-	{"third of the servers gone", 7, 0.8, 0.935, 1196. / 2734, 0.95, func(pl *loadPlay) {
+	{"third of the servers gone", 7, 0.8, 0.915, 1224. / 2737, 0.983, 0.95, func(pl *loadPlay) {
 		for no := 0; no < 2*pl.size; no += 3 {
 			pl.after(playLead, func() { pl.removeServer(pl.servers[no]) })
 		}
 	}},
-	{"peers silent", 7, 1.2, 0.977, 1494. / 3721, 0.95, func(pl *loadPlay) {
+	{"peers silent", 7, 1.2, 0.980, 1527. / 3761, 0.933, 0.95, func(pl *loadPlay) {
 		pl.after(playLead, func() { pl.silent = true })
 		pl.after(playLead+2*time.Second, func() { pl.silent = false })
 	}},
 	// A third of a data centre's callers wait for the instance's return, or for the router.
-	{"instance frozen", 7, 1.2, 0.915, 1648. / 3779, 0.85, func(pl *loadPlay) {
+	{"instance frozen", 7, 1.2, 0.908, 1671. / 3802, 0.872, 0.85, func(pl *loadPlay) {
 		pl.after(playLead, func() { pl.freeze(pl.instances[0], 1500*time.Millisecond) })
 	}},
-	{"fifth slow", 7, 0.6, 0.598, 125. / 1375, 0.85, func(pl *loadPlay) {
+	{"fifth slow", 7, 0.6, 0.588, 122. / 1384, 1.000, 0.85, func(pl *loadPlay) {
 		for no := 0; no < 2*pl.size; no += 5 {
 			pl.servers[no].speed = 0.3
 		}
 	}},
-	{"cold servers", 7, 0.8, 0.661, 63. / 1835, 0.95, func(pl *loadPlay) {
+	{"cold servers", 7, 0.8, 0.659, 87. / 1840, 1.000, 0.95, func(pl *loadPlay) {
 		for no := range pl.size / 2 {
 			pl.startServer("core", no%len(pl.centres), time.Second)
 		}
@@ -192,9 +201,12 @@
 	if row.name == "load" && row.load < 1 && rs.refusals > 0 {
 		t.Errorf("%d flows were refused below full load", rs.refusals)
 	}
-	if share := rs.kinds[slices.IndexFunc(rs.kinds, func(kr *kindResult) bool { return kr.name == "bag" })].share(); share < row.urgent {
+	if share := rs.share("bag"); share < row.urgent {
 		t.Errorf("%.3f of the requests of the highest priority are in time, want %.2f", share, row.urgent)
 	}
+	if share := rs.share("pass"); row.load <= 2 && share < row.pass-shareNoise {
+		t.Errorf("%.3f of the requests of the service that takes from the other are in time, was %.3f", share, row.pass)
+	}
 	if rs.goodput < row.goodput-goodputNoise {
 		t.Errorf("goodput %.3f, was %.3f", rs.goodput, row.goodput)
 	}
