--- a/core/jpsplit/spill.go
+++ b/core/jpsplit/spill.go
@@ -1,30 +1,25 @@
 package jpsplit
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
 	// fullAt is the number of requests for each slot above which flows spill to other
-	// targets, and at overfullAt all spill that others can take. A part of the requests
-	// is on its way to a slot or back, so that slots are free up to about overfullAt;
-	// beyond it queues grow too fast for reports that are half a second old.
-	fullAt     = 0.8
-	overfullAt = 1.1
-
-	// openTo is the number of requests for each slot up to which a target takes spilled
-	// flows, at most fullAt so that no two targets exchange flows. The more it is filled
-	// by its own callers, the less it takes.
-	openTo = 0.8
-
-	// steepness is the number of requests that a target takes for each that it lacks
-	// up to openTo. It is below the value at which estimates of half a second ago make
-	// the spilled part swing.
+	// targets, and up to which these take them. A part of the requests is on its way to a
+	// slot or back, so that slots are free up to a little more. From overfullAt on the
+	// spilled part grows at its greatest rate.
+	fullAt     = 0.9
+	overfullAt = 1.4
+
+	// steepness weighs the room of a target against the need of another one. It is below
+	// the value at which loads of half a second ago make the spilled part swing.
 	steepness = 2
 
-	// settlingTime is the time constant with which the spilled part follows the loads.
-	settlingTime = 2 * time.Second
+	// settlingTime is the time in which a target that is overfull passes on all its flows
+	// if others have room, and retentionTime the one in which a spilled part that nothing
+	// asks for any more would go back by itself. It damps what long flows do, which load
+	// a target for seconds after they were placed.
+	settlingTime  = 2 * time.Second
+	retentionTime = 4 * settlingTime
 
 	// maxStep bounds the time that one adjustment counts, so that a pause of the
 	// process doesn't pass for a long look at one load.
@@ -66,21 +61,17 @@
 func (sp *Spill[K]) Adjust(now time.Time, loads []Load[K]) {
 	elapsed := min(max(now.Sub(sp.adjustedAt), 0), maxStep)
 	sp.adjustedAt = now
-	weight := 1 - math.Exp(-elapsed.Seconds()/settlingTime.Seconds())
 	total := sp.totalDemand(loads)
 	for _, from := range loads {
-		justClosed := from.Slots <= 0 && !sp.closed[from.Target]
+		sum := 0.0
+		for _, to := range loads {
+			if to.Target != from.Target {
+				sum += sp.adjustPair(elapsed, loads, from, to, total)
+			}
+		}
 		for _, to := range loads {
-			key := pair[K]{from.Target, to.Target}
-			room := room(loads, from, to) / total
-			pressure := from.pressure() * shareOfRoom(loads, from, to)
-			switch {
-			case justClosed:
-				sp.fractions[key] = min(pressure, room)
-			case from.unknown() || to.unknown() && from.Slots > 0:
-				delete(sp.fractions, key)
-			case pressure > 0 || sp.fractions[key] > 0:
-				sp.fractions[key] += weight * (min(pressure, steepness*room) - sp.fractions[key])
+			if sum > 1 {
+				sp.fractions[pair[K]{from.Target, to.Target}] /= sum
 			}
 		}
 	}
@@ -89,6 +80,32 @@
 	}
 }
 
+// adjustPair adjusts what one target passes to another, and returns it.
+func (sp *Spill[K]) adjustPair(elapsed time.Duration, loads []Load[K], from, to Load[K], total float64) float64 {
+	key := pair[K]{from.Target, to.Target}
+	part := sp.fractions[key]
+	need := from.need()
+	if need > 0 {
+		need *= shareOfRoom(loads, from, to)
+	}
+	room := from.roomIn(to) / total
+	if room > 0 {
+		room *= shareOfNeed(loads, from, to)
+	}
+	switch {
+	case from.Slots <= 0 && !sp.closed[from.Target]:
+		part = max(min(need, room), 0)
+	case from.unknown() || to.unknown() && from.Slots > 0:
+		part = 0
+	default:
+		part -= part * elapsed.Seconds() / retentionTime.Seconds()
+		part += min(need, steepness*room) * elapsed.Seconds() / settlingTime.Seconds()
+	}
+	part = min(max(part, 0), 1)
+	sp.fractions[key] = part
+	return part
+}
+
 // totalDemand returns how many requests the targets work on, and those that a closed one
 // did before. The rooms of targets are measured by it.
 func (sp *Spill[K]) totalDemand(loads []Load[K]) float64 {
@@ -105,52 +122,53 @@
 // unknown reports whether the load of a target that takes flows is not known.
 func (ld Load[K]) unknown() bool { return ld.Slots > 0 && !ld.Known }
 
-// pressure returns which part of the flows of a target should go elsewhere, from 0 to 1.
-func (ld Load[K]) pressure() float64 {
-	switch {
-	case ld.Slots <= 0:
+// need returns how much a target needs to pass on flows, up to 1, or can take its own back,
+// down to -1.
+func (ld Load[K]) need() float64 {
+	if ld.Slots <= 0 {
 		return 1
-	case !ld.Known:
-		return 0
 	}
-	return min(max((ld.Requests/ld.Slots-fullAt)/(overfullAt-fullAt), 0), 1)
+	return min(max((ld.Requests/ld.Slots-fullAt)/(overfullAt-fullAt), -1), 1)
 }
 
-// room returns how many requests of one target another one may take. If several targets
-// need its room, they share it by their pressures.
-func room[K comparable](loads []Load[K], from, to Load[K]) float64 {
-	pressures := 0.0
-	for _, ld := range loads {
-		if ld.Target != to.Target {
-			pressures += ld.pressure()
-		}
-	}
-	if pressures == 0 {
-		return 0
-	}
-	return roomFor(from, to) * from.pressure() / pressures
-}
-
-// roomFor returns how many requests of another target a target may take. One of unknown
-// load helps only one that can take nothing, and then as if it were empty.
-func roomFor[K comparable](from, to Load[K]) float64 {
+// roomIn returns how many requests of a target another one may take, negative if it has
+// too many. One of unknown load helps only a target that can take nothing, and then as if
+// it were empty.
+func (ld Load[K]) roomIn(to Load[K]) float64 {
 	switch {
-	case from.Target == to.Target || to.unknown() && from.Slots > 0:
+	case to.unknown() && ld.Slots > 0:
 		return 0
 	case to.unknown():
-		return openTo * to.Slots
+		return fullAt * to.Slots
 	}
-	return max(openTo*to.Slots-to.Requests, 0)
+	return fullAt*to.Slots - to.Requests
 }
 
-// shareOfRoom returns which part of the room for the requests of a target another one has.
+// shareOfRoom returns which part of all rooms for the requests of a target another one has.
 func shareOfRoom[K comparable](loads []Load[K], from, to Load[K]) float64 {
 	rooms := 0.0
 	for _, ld := range loads {
-		rooms += roomFor(from, ld)
+		if ld.Target != from.Target {
+			rooms += max(from.roomIn(ld), 0)
+		}
 	}
 	if rooms == 0 {
 		return 0
 	}
-	return roomFor(from, to) / rooms
+	return max(from.roomIn(to), 0) / rooms
+}
+
+// shareOfNeed returns which part of the room in a target another one may take, by the needs
+// of all.
+func shareOfNeed[K comparable](loads []Load[K], from, to Load[K]) float64 {
+	needs := 0.0
+	for _, ld := range loads {
+		if ld.Target != to.Target {
+			needs += max(ld.need(), 0)
+		}
+	}
+	if needs == 0 {
+		return 1
+	}
+	return max(from.need(), 0) / needs
 }
