--- a/core/jpdispatch/dispatcher.go
+++ b/core/jpdispatch/dispatcher.go
@@ -54,8 +54,9 @@
 	position       Position
 	peerReports    map[string]silentReport // by id of the peer
 	hasManifest    bool
-	currentAt      time.Time // latest time at which the directory was known to be up to date
-	storeUpSince   time.Time // start of the store's current uninterrupted availability
+	earlyServers   map[uint32]Endpoint // by tag; until there is a manifest, see ApplyEarly
+	currentAt      time.Time           // latest time at which the directory was known to be up to date
+	storeUpSince   time.Time           // start of the store's current uninterrupted availability
 	idleTimeout    time.Duration
 	routes         map[netip.AddrPort]*jpdirectory.Route
 	services       map[string]*service
@@ -71,6 +72,7 @@
 	cutEvidence    map[string]cutEvidence // by data centre
 	unknownTags    map[uint32]time.Time   // first packet with the tag, by tag
 	routelessFlows map[FlowKey]time.Time  // first packet of an open flow whose route is not known
+	admission      admission
 	lastTick       time.Time
 	nextExpiry     time.Time
 	observedAt     time.Time // latest call of Observe
@@ -81,6 +83,7 @@
 
 type service struct {
 	cfg     jpdirectory.Service
+	ranks   []int     // priorities of the routes with a latency target, in order
 	servers []*server // of this instance's data centre first
 	local   int       // number of servers in this instance's data centre
 	pool    *pool
@@ -103,6 +106,7 @@
 		cutEvidence:    map[string]cutEvidence{},
 		unknownTags:    map[uint32]time.Time{},
 		routelessFlows: map[FlowKey]time.Time{},
+		admission:      admission{gates: map[string]*gate{}, waiters: map[FlowKey]*waiter{}},
 	}
 }
 
@@ -131,6 +135,32 @@
 	if reassign {
 		ds.assignServers()
 	}
+	for _, sc := range ds.services {
+		sc.pool.refreshAt = time.Time{} // its servers may drain or be out
+	}
+}
+
+// ApplyEarly applies the servers among records that were read before the manifest, and
+// reports whether there are any. Packets of open flows are forwarded to them; all else
+// waits for the manifest. The records have to be applied again with it.
+func (ds *Dispatcher) ApplyEarly(records []jpdirectory.Record) bool {
+	if ds.hasManifest {
+		return false
+	}
+	ds.earlyServers = map[uint32]Endpoint{}
+	for _, rc := range records {
+		if rc.Server != nil {
+			sr := newServer(*rc.Server)
+			ds.earlyServers[sr.tag] = sr.endpoint()
+		}
+	}
+	return len(ds.earlyServers) > 0
+}
+
+// MustHold reports whether a packet has to wait for the manifest.
+func (ds *Dispatcher) MustHold(pk Packet) bool {
+	_, known := ds.earlyServers[pk.Tag]
+	return !ds.hasManifest && (pk.Flags&SYN != 0 || !known)
 }
 
 // SetFreshness sets the latest time at which the directory was up to date, and
@@ -157,7 +187,7 @@
 	if mf == nil {
 		return
 	}
-	ds.hasManifest = true
+	ds.hasManifest, ds.earlyServers = true, nil
 	ds.idleTimeout = mf.IdleTimeout
 	clear(ds.routes)
 	for ix := range mf.Routes {
@@ -172,6 +202,7 @@
 		services[cfg.Name] = sc
 	}
 	ds.services = services
+	ds.rankPriorities()
 	ds.assignSplits(mf)
 }
 
@@ -391,6 +422,7 @@
 // Stats holds counts of the flows and servers that an instance knows.
 type Stats struct {
 	Flows   int
+	Waiting int // new flows that wait for room
 	Servers int
 	Silent  int // servers that failed a check and were not seen alive since
 	Failing int // servers with unanswered requests
@@ -398,7 +430,7 @@
 
 // Stats returns the current counts. Only servers in the directory are counted.
 func (ds *Dispatcher) Stats() Stats {
-	stats := Stats{Flows: ds.flows.Len()}
+	stats := Stats{Flows: ds.flows.Len(), Waiting: ds.Waiting()}
 	for _, sr := range ds.servers {
 		if !sr.present {
 			continue
