jpspeed: speed of servers learned from response times

Cause: a server that is 3 to 8 times slower than the others of its service, or slows down at half of its slots, got as many flows as they. Change: each instance turns response times into ratios to the usual one of their route and service, reports them to its peers, merges what it hears by the median of three groups of sources, and divides a server's slots by its slowness relative to the median server; placing and the estimate of capacity use that. On for services with a route that states a latency target, downloads excepted.

--- a/core/jpdispatch/capacity.go
+++ b/core/jpdispatch/capacity.go
@@ -136,8 +136,3 @@
 		}
 	}
 }
-
-// concurrency returns how many requests a server takes well at a time.
-func (ds *Dispatcher) concurrency(_ time.Time, sr *server) float64 {
-	return float64(max(sr.cfg.Slots, 1))
-}
--- a/core/jpdispatch/dispatcher.go
+++ b/core/jpdispatch/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"net/netip"
 	"slices"
 	"sort"
@@ -12,7 +13,7 @@
 )
 
 const (
-	// maxFlows bounds the flow table. At 136 bytes a flow it takes 9 MB, under
+	// maxFlows bounds the flow table. At 144 bytes a flow it takes 9 MB, under
 	// a tenth of the smallest instance's memory.
 	maxFlows = 64 << 10
 
@@ -72,6 +73,8 @@
 	cutEvidence    map[string]cutEvidence // by data centre
 	unknownTags    map[uint32]time.Time   // first packet with the tag, by tag
 	routelessFlows map[FlowKey]time.Time  // first packet of an open flow whose route is not known
+	routeSpeeds    map[routeSpeedKey]*routeSpeed
+	nextSpeeds     time.Time // next update of the beliefs about servers' speeds
 	admission      admission
 	lastTick       time.Time
 	nextExpiry     time.Time
@@ -87,6 +90,7 @@
 	servers []*server // of this instance's data centre first
 	local   int       // number of servers in this instance's data centre
 	pool    *pool
+	unheard float64 // instances that use the servers, over those that report to this one; see queueing
 }
 
 // New returns the dispatcher of an instance in a data centre.
@@ -106,6 +110,7 @@
 		cutEvidence:    map[string]cutEvidence{},
 		unknownTags:    map[uint32]time.Time{},
 		routelessFlows: map[FlowKey]time.Time{},
+		routeSpeeds:    map[routeSpeedKey]*routeSpeed{},
 		admission:      admission{gates: map[string]*gate{}, waiters: map[FlowKey]*waiter{}},
 	}
 }
@@ -202,6 +207,9 @@
 		services[cfg.Name] = sc
 	}
 	ds.services = services
+	maps.DeleteFunc(ds.routeSpeeds, func(key routeSpeedKey, _ *routeSpeed) bool {
+		return ds.routes[key.route] == nil || ds.services[key.service] == nil
+	})
 	ds.rankPriorities()
 	ds.assignSplits(mf)
 }
@@ -426,6 +434,7 @@
 	Servers int
 	Silent  int // servers that failed a check and were not seen alive since
 	Failing int // servers with unanswered requests
+	Slow    int // servers believed to be slower than the others of their service
 }
 
 // Stats returns the current counts. Only servers in the directory are counted.
@@ -442,6 +451,9 @@
 		if sr.reportedFailing {
 			stats.Failing++
 		}
+		if sr.speed.Slowness() > 1 {
+			stats.Slow++
+		}
 	}
 	return stats
 }
--- a/core/jpdispatch/flow.go
+++ b/core/jpdispatch/flow.go
@@ -52,6 +52,7 @@
 	lastSeenAt     time.Time               // latest packet of the flow at this instance
 	triedTags      [maxTriedServers]uint32 // tags of the servers that got the SYN
 	triedCount     int
+	speed          *routeSpeed // of the unanswered request, nil if its time is no sample
 }
 
 // activate counts the flow as load of its server.
--- a/core/jpdispatch/handle.go
+++ b/core/jpdispatch/handle.go
@@ -283,11 +283,13 @@
 // check that a retransmission requires.
 func (ds *Dispatcher) observe(now time.Time, fl *flow, pk Packet) Check {
 	sr := fl.server
+	seenBefore := fl.lastAck != 0 || fl.triedCount > 0
 	fl.noteSequence(pk)
 	if pk.Flags&ACK != 0 && (fl.lastAck == 0 || int32(pk.Ack-fl.lastAck) > 0) {
 		if fl.lastAck != 0 && !ds.mayHaveWaited(pk) {
 			ds.noteAnswered(now, sr)
 			ds.noteResponse(now, fl)
+			ds.noteSpeed(now, fl)
 		}
 		fl.lastAck = pk.Ack
 		fl.clearWaiting()
@@ -300,6 +302,7 @@
 	case !fl.awaitingAnswer:
 		fl.awaitingAnswer, fl.pendingEnd, fl.sentAt = true, end, now
 		fl.beginRequest()
+		ds.startTiming(now, fl, pk, seenBefore)
 		ds.noteRequest(now, pk, sr)
 	case int32(end-fl.pendingEnd) > 0:
 		fl.pendingEnd = end
--- a/core/jpdispatch/place.go
+++ b/core/jpdispatch/place.go
@@ -197,7 +197,7 @@
 			continue
 		}
 		choices++
-		score := float64(sr.load(now)) / ds.concurrency(now, sr)
+		score := ds.placingScore(now, sr)
 		if ix >= sc.local {
 			score += remotePenalty
 		}
--- a/core/jpdispatch/server.go
+++ b/core/jpdispatch/server.go
@@ -105,6 +105,7 @@
 	trackedFlows     int       // flow table entries of this instance
 	peerLoads        map[string]peerLoad
 	peerFlows        int       // sum of peerLoads
+	peerRequestSum   float64   // sum of peerLoads
 	peerFlowsExpire  time.Time // at most the first expiry in peerLoads
 
 	aliveAt         time.Time // latest evidence that it is alive
@@ -119,12 +120,15 @@
 	inconclusive    bool        // the latest check was inconclusive and the server was not seen alive since
 	nextCheckAt     time.Time
 	coldSince       time.Time // when it was last treated as newly cold
+	speed           jpspeed.Estimate
+	loggedSlowness  float64   // as last reported by SpeedChanges, 0 if never
 	nextColdAt      time.Time // earliest next flow from this instance while it is cold
 }
 
 type peerLoad struct {
-	flows   int
-	expires time.Time
+	flows    int
+	requests float64
+	expires  time.Time
 }
 
 func newServer(cfg jpdirectory.Server) *server {
@@ -201,31 +205,45 @@
 // load returns the load of the server in flows, as seen by this instance and
 // reported by its peers.
 func (sr *server) load(now time.Time) int {
-	if len(sr.peerLoads) > 0 && !now.Before(sr.peerFlowsExpire) {
-		sr.sumPeerLoads(now)
-	}
+	sr.expirePeerLoads(now)
 	return sr.localLoad(now) + sr.peerFlows
 }
 
+// peerRequests returns the number of requests without a response that peers reported.
+func (sr *server) peerRequests(now time.Time) float64 {
+	sr.expirePeerLoads(now)
+	return sr.peerRequestSum
+}
+
 // setPeerLoad sets the load that a peer reported.
-func (sr *server) setPeerLoad(now time.Time, peer string, flows int) {
-	ld := peerLoad{flows: flows, expires: now.Add(peerLoadTTL)}
+func (sr *server) setPeerLoad(now time.Time, peer string, flows int, requests float64) {
+	ld := peerLoad{flows: flows, requests: requests, expires: now.Add(peerLoadTTL)}
 	if len(sr.peerLoads) == 0 {
 		sr.peerFlowsExpire = ld.expires
 	}
-	sr.peerFlows += flows - sr.peerLoads[peer].flows
+	previous := sr.peerLoads[peer]
+	sr.peerFlows += flows - previous.flows
+	sr.peerRequestSum += requests - previous.requests
 	sr.peerLoads[peer] = ld
 }
 
+// expirePeerLoads leaves out the loads of peers that are too old.
+func (sr *server) expirePeerLoads(now time.Time) {
+	if len(sr.peerLoads) > 0 && !now.Before(sr.peerFlowsExpire) {
+		sr.sumPeerLoads(now)
+	}
+}
+
 // sumPeerLoads removes the expired loads of peers and adds up the others.
 func (sr *server) sumPeerLoads(now time.Time) {
-	sr.peerFlows, sr.peerFlowsExpire = 0, now.Add(peerLoadTTL)
+	sr.peerFlows, sr.peerRequestSum, sr.peerFlowsExpire = 0, 0, now.Add(peerLoadTTL)
 	for peer, ld := range sr.peerLoads {
 		if !now.Before(ld.expires) {
 			delete(sr.peerLoads, peer)
 			continue
 		}
 		sr.peerFlows += ld.flows
+		sr.peerRequestSum += ld.requests
 		if ld.expires.Before(sr.peerFlowsExpire) {
 			sr.peerFlowsExpire = ld.expires
 		}
@@ -254,15 +272,15 @@
 }
 
 // Loads returns the loads that this instance reports to its peers, in order of
-// the tags.
+// the tags. Observations are returned once.
 func (ds *Dispatcher) Loads() []Load {
 	var list []Load
 	for _, sr := range ds.servers {
 		ld := Load{
 			Tag: sr.tag, Flows: sr.localLoad(ds.lastTick), Held: sr.trackedFlows,
-			Requests: sr.takeMeanRequests(ds.requestSamples),
+			Requests: sr.takeMeanRequests(ds.requestSamples), Speed: sr.speed.TakeSummary(),
 		}
-		if sr.present && (ld.Flows > 0 || ld.Held > 0 || ld.Requests > 0) {
+		if sr.present && (ld.Flows > 0 || ld.Held > 0 || ld.Requests > 0 || ld.Speed.Samples > 0) {
 			list = append(list, ld)
 		}
 	}
@@ -275,7 +293,8 @@
 func (ds *Dispatcher) HandleLoads(now time.Time, peer string, loads []Load) {
 	for _, ld := range loads {
 		if sr := ds.serversByTag[ld.Tag]; sr != nil {
-			sr.setPeerLoad(now, peer, ld.Flows)
+			sr.setPeerLoad(now, peer, ld.Flows, ld.Requests)
+			sr.speed.AddReport(now, peer, ld.Speed)
 		}
 	}
 	ds.reportRequests(now, peer, loads)
--- a/io/jpentry/control.go
+++ b/io/jpentry/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -60,6 +61,7 @@
 	neighbours := en.group.Neighbours()
 	checks := en.dispatcher.DueChecks(now)
 	changes := en.dispatcher.FailingChanges(now)
+	speeds := en.dispatcher.SpeedChanges(now)
 	revision, age := en.directory.Revision(), now.Sub(en.directory.CurrentAt())
 	if !now.Before(en.nextStats) {
 		en.nextStats = now.Add(statsInterval)
@@ -75,6 +77,10 @@
 	for _, fc := range changes {
 		klog.InfoS("dispatch: server", "server", fc.Server, "failing", fc.Failing, "stuck", fc.Stuck, "given_up", fc.GivenUp)
 	}
+	for _, sc := range speeds {
+		klog.InfoS("dispatch: speed", "server", sc.Server, "slowness", roundToHundredths(sc.To), "before", roundToHundredths(sc.From),
+			"samples", int(sc.Samples), "age_ms", sc.Age.Milliseconds())
+	}
 	for _, check := range checks {
 		en.checkServer(check)
 	}
@@ -101,6 +107,8 @@
 	}
 }
 
+func roundToHundredths(value float64) float64 { return math.Round(100*value) / 100 }
+
 func (en *Entry) sendToPeer(id string, msg any) {
 	if err := en.peers.Send(id, msg); err != nil {
 		klog.V(2).InfoS("peer: message was not sent", "peer", id, "err", err)
--- a/io/jpentry/metrics.go
+++ b/io/jpentry/metrics.go
@@ -43,6 +43,7 @@
 	servers         atomic.Int64
 	silentServers   atomic.Int64
 	failingServers  atomic.Int64
+	slowServers     atomic.Int64
 	revision        atomic.Uint64
 	decisionTimes   histogram
 }
@@ -99,6 +100,7 @@
 	mt.waitingFlows.Store(int64(stats.Waiting))
 	mt.silentServers.Store(int64(stats.Silent))
 	mt.failingServers.Store(int64(stats.Failing))
+	mt.slowServers.Store(int64(stats.Slow))
 	mt.revision.Store(revision)
 	mt.storeCalls.Store(calls)
 }
@@ -180,6 +182,7 @@
 	scope.Gauge("servers").Update(float64(mt.servers.Load()))
 	scope.Gauge("silent_servers").Update(float64(mt.silentServers.Load()))
 	scope.Gauge("failing_servers").Update(float64(mt.failingServers.Load()))
+	scope.Gauge("slow_servers").Update(float64(mt.slowServers.Load()))
 	scope.Gauge("directory_revision").Update(float64(mt.revision.Load()))
 }
 
