--- a/core/jpadmission/limit.go
+++ b/core/jpadmission/limit.go
@@ -5,19 +5,21 @@
 // Limits in requests for each slot. Without waiting requests, servers become idle until the
 // next ones arrive; with too many, they reject some.
 const (
-	highestLimit  = 5.0 // of the highest priority
-	lowestLimit   = 3.0 // of the lowest priority
+	highestLimit  = 4.5 // of the highest priority
+	lowestLimit   = 3.5 // of the lowest priority
 	reservedLimit = 2.0 // of the lowest priority while the highest one waits
+	ReservedFill  = 3.0 // above which the highest priority gets a reserve
+	lateLimit     = 1.5 // of flows that can't be served in time any more
 )
 
 const (
 	// reserveGrowth is the time in which the reserve of the higher priorities grows to
 	// its maximum while the highest one waits.
-	reserveGrowth = time.Second
+	reserveGrowth = 500 * time.Millisecond
 
 	// reserveDecay is the time in which it shrinks again, longer than most flows stay
 	// open: what is released meanwhile can't be held back any more.
-	reserveDecay = 5 * time.Second
+	reserveDecay = 3 * time.Second
 
 	// maxReserveStep bounds the time that one observation stands for.
 	maxReserveStep = 50 * time.Millisecond
@@ -58,7 +60,7 @@
 	limit := highestLimit
 	switch {
 	case cl.Late:
-		limit = reservedLimit
+		limit = lateLimit
 	case cl.Rank > 0:
 		lowest := lowestLimit - (lowestLimit-reservedLimit)*lm.reserve
 		limit -= (highestLimit - lowest) * float64(cl.Rank) / float64(cl.Ranks-1)
--- a/core/jpadmission/queue.go
+++ b/core/jpadmission/queue.go
@@ -46,9 +46,14 @@
 // NewQueue returns a queue of at most limit items.
 func NewQueue[K comparable](limit int) *Queue[K] { return &Queue[K]{limit: limit} }
 
-// Waits reports whether an item of a priority waits that can still meet its target.
-func (qu *Queue[K]) Waits(priority int) bool {
-	return slices.ContainsFunc(qu.lanes, func(ln *lane[K]) bool { return !ln.late && ln.priority == priority && len(ln.items) > 0 })
+// Requests returns the recent requests of a priority, decayed over rateWindow.
+func (qu *Queue[K]) Requests(priority int) float64 {
+	for _, ln := range qu.lanes {
+		if !ln.late && ln.priority == priority {
+			return ln.requests.sum
+		}
+	}
+	return 0
 }
 
 // Len returns the number of items.
--- a/core/jpadmission/queue_test.go
+++ b/core/jpadmission/queue_test.go
@@ -202,7 +202,7 @@
 		{"highest priority waits", 1500, 1500, high, highestLimit},
 		{"waited long ago", 1500, 6500, low, lowestLimit},
 		{"slow requests", 0, 500, slow, 1.5},
-		{"late", 0, 500, late, reservedLimit},
+		{"late", 0, 500, late, lateLimit},
 	}
 	for _, row := range rows {
 		var lm Limits
--- a/core/jpdispatch/admit.go
+++ b/core/jpdispatch/admit.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"jacinthpass/core/jpadmission"
+	"jacinthpass/core/jpcapacity"
 	"jacinthpass/core/jpdirectory"
 )
 
@@ -65,8 +66,8 @@
 	if !repeated {
 		gt.retries.Deposit()
 	}
-	gt.observe(now, sc)
 	es := ds.fullness(now, sc)
+	gt.observe(now, sc, es)
 	if es.Guess || gt.queue.Len() == 0 && es.Room(gt.perSlot(sc, rt, false)) > 0 {
 		return Decision{}, false
 	}
@@ -95,9 +96,11 @@
 	return gt.limits.PerSlot(jpadmission.Class{Target: rt.TargetLatency, Usual: gt.usual.Get(), Ranks: len(sc.ranks)})
 }
 
-// observe tells the limits whether flows of the highest priority wait.
-func (gt *gate) observe(now time.Time, sc *service) {
-	gt.limits.Observe(now, len(sc.ranks) > 0 && gt.queue.Waits(sc.ranks[0]))
+// observe tells the limits whether the highest priority lacks room.
+func (gt *gate) observe(now time.Time, sc *service, es jpcapacity.Estimate) {
+	if len(sc.ranks) > 1 {
+		gt.limits.Observe(now, !es.Guess && gt.queue.Requests(sc.ranks[0]) > 0 && es.Fill() > jpadmission.ReservedFill)
+	}
 }
 
 // rankPriorities sets the priorities of the routes that state a latency target, for each
@@ -116,10 +119,13 @@
 	}
 }
 
-// itemOf returns the item of a flow that would have to wait.
+// itemOf returns the item of a flow that would have to wait. It may spend half of the time
+// that its response leaves here, because it queues at the server too; after that, it only
+// takes what others leave. What would be late is refused.
 func (gt *gate) itemOf(now time.Time, rt *jpdirectory.Route, pk Packet) jpadmission.Item[FlowKey] {
+	spare := rt.TargetLatency - gt.usual.Get()
 	return jpadmission.Item[FlowKey]{
-		Key: keyOf(pk), Priority: rt.Priority, Deadline: now.Add(rt.TargetLatency - gt.usual.Get()), Expires: now.Add(maxWait),
+		Key: keyOf(pk), Priority: rt.Priority, Deadline: now.Add(spare / 2), Expires: now.Add(min(max(spare, minWait), maxWait)),
 	}
 }
 
--- a/core/jpdispatch/wait.go
+++ b/core/jpdispatch/wait.go
@@ -12,6 +12,10 @@
 	// what remains is for the handshake.
 	maxWait = 1200 * time.Millisecond
 
+	// minWait is how long a new flow may wait whose latency target is shorter. A caller
+	// that is refused sooner has no attempts left when a short burst is over.
+	minWait = 200 * time.Millisecond
+
 	// maxWaiting bounds the flows that wait for one service. With the packets that
 	// the instance keeps they take 0.5 MB.
 	maxWaiting = 1024
@@ -146,6 +150,7 @@
 	limited := sc != nil && !ds.admission.stopped
 	if limited {
 		es := ds.fullness(now, sc)
+		gt.observe(now, sc, es)
 		limited = !es.Guess
 		for limited && ds.releaseOne(now, gt, func(wt *waiter, assured bool) bool {
 			rt := ds.routes[wt.packet.Route]
@@ -162,9 +167,6 @@
 			es.Requests++
 		}
 	}
-	if sc != nil {
-		gt.observe(now, sc)
-	}
 	for !limited && ds.releaseOne(now, gt, func(*waiter, bool) bool { return true }) {
 	}
 }
