--- a/core/jpadmission/limit.go
+++ b/core/jpadmission/limit.go
@@ -7,14 +7,17 @@
 const (
 	highestLimit  = 4.5 // of the highest priority
 	lowestLimit   = 3.5 // of the lowest priority
-	reservedLimit = 2.0 // of the lowest priority while the highest one waits
-	ReservedFill  = 3.0 // above which the highest priority gets a reserve
-	lateLimit     = 1.5 // of flows that can't be served in time any more
+	reservedLimit = 2.0 // of the lowest priority at the largest reserve
+	lateLimit     = 1.5 // of flows that are probably late
+
+	// reserveFrom is the number of requests for each slot above which servers may reject
+	// what the highest priority sends.
+	reserveFrom = 3.0
 )
 
 const (
 	// reserveGrowth is the time in which the reserve of the higher priorities grows to
-	// its maximum while the highest one waits.
+	// its maximum above reserveFrom.
 	reserveGrowth = 500 * time.Millisecond
 
 	// reserveDecay is the time in which it shrinks again, longer than most flows stay
@@ -26,19 +29,18 @@
 )
 
 // Limits decides how many requests the servers of a service may have for each slot when a
-// flow is added. While flows of the highest priority have to wait, the lower priorities
-// get less: their open flows can't be held back afterwards. The zero value reserves
-// nothing.
+// flow is added. When servers fill, the lower priorities get less than the highest one:
+// their open flows can't be held back afterwards. The zero value reserves nothing.
 type Limits struct {
 	reserve    float64 // 0 to 1
 	observedAt time.Time
 }
 
-// Observe records whether flows of the highest priority wait.
-func (lm *Limits) Observe(now time.Time, waits bool) {
+// Observe records the requests for each slot of a service that the highest priority uses.
+func (lm *Limits) Observe(now time.Time, fill float64) {
 	elapsed := now.Sub(lm.observedAt)
 	lm.observedAt = now
-	if waits {
+	if fill > reserveFrom {
 		lm.reserve = min(lm.reserve+min(elapsed, maxReserveStep).Seconds()/reserveGrowth.Seconds(), 1)
 	} else {
 		lm.reserve = max(lm.reserve-elapsed.Seconds()/reserveDecay.Seconds(), 0)
@@ -51,11 +53,11 @@
 	Usual  time.Duration // usual response time, 0 if not known
 	Rank   int           // of its priority among those of the service, 0 for the highest
 	Ranks  int           // number of priorities of the service
-	Late   bool          // it can't be served in time any more
+	Late   bool          // it is probably late
 }
 
 // PerSlot returns the limit for a flow. A request queues at its server for at most a
-// quarter of its latency target. What is served late only takes what others leave.
+// quarter of its latency target. What is probably late only takes what others leave.
 func (lm *Limits) PerSlot(cl Class) float64 {
 	limit := highestLimit
 	switch {
--- a/core/jpdispatch/admit.go
+++ b/core/jpdispatch/admit.go
@@ -96,11 +96,13 @@
 	return gt.limits.PerSlot(jpadmission.Class{Target: rt.TargetLatency, Usual: gt.usual.Get(), Ranks: len(sc.ranks)})
 }
 
-// observe tells the limits whether the highest priority lacks room.
+// observe tells the limits how full the service is, if routes of several priorities use it.
 func (gt *gate) observe(now time.Time, sc *service, es jpcapacity.Estimate) {
-	if len(sc.ranks) > 1 {
-		gt.limits.Observe(now, !es.Guess && gt.queue.Requests(sc.ranks[0]) > 0 && es.Fill() > jpadmission.ReservedFill)
+	fill := es.Fill()
+	if es.Guess || len(sc.ranks) < 2 || gt.queue.Requests(sc.ranks[0]) == 0 {
+		fill = 0
 	}
+	gt.limits.Observe(now, fill)
 }
 
 // rankPriorities sets the priorities of the routes that state a latency target, for each
