--- a/core/jpadmission/limit.go
+++ b/core/jpadmission/limit.go
@@ -5,14 +5,14 @@
 // Limits in requests for each slot. Without waiting requests, servers become idle until the
 // next ones arrive; with too many, they reject some.
 const (
-	highestLimit  = 4.5 // of the highest priority
-	lowestLimit   = 3.5 // of the lowest priority
-	reservedLimit = 2.0 // of the lowest priority at the largest reserve
+	highestLimit  = 5.0 // of the highest priority
+	lowestLimit   = 4.0 // of the lowest priority
+	reservedLimit = 2.5 // of the lowest priority at the largest reserve
 	lateLimit     = 1.5 // of flows that are probably late
 
 	// reserveFrom is the number of requests for each slot above which servers may reject
 	// what the highest priority sends.
-	reserveFrom = 3.0
+	reserveFrom = 3.5
 )
 
 const (
