--- a/core/jpadmission/limit.go
+++ b/core/jpadmission/limit.go
@@ -56,8 +56,8 @@
 	Late   bool          // it is probably late
 }
 
-// PerSlot returns the limit for a flow. A request queues at its server for at most a
-// quarter of its latency target. What is probably late only takes what others leave.
+// PerSlot returns the limit for a flow. A request queues at its server for at most half
+// of its latency target. What is probably late only takes what others leave.
 func (lm *Limits) PerSlot(cl Class) float64 {
 	limit := highestLimit
 	switch {
@@ -68,7 +68,7 @@
 		limit -= (highestLimit - lowest) * float64(cl.Rank) / float64(cl.Ranks-1)
 	}
 	if cl.Usual > 0 {
-		limit = min(limit, 1+cl.Target.Seconds()/(4*cl.Usual.Seconds()))
+		limit = min(limit, 1+cl.Target.Seconds()/(2*cl.Usual.Seconds()))
 	}
 	return limit
 }
