--- a/core/jpadmission/queue.go
+++ b/core/jpadmission/queue.go
@@ -46,14 +46,15 @@
 // NewQueue returns a queue of at most limit items.
 func NewQueue[K comparable](limit int) *Queue[K] { return &Queue[K]{limit: limit} }
 
-// Requests returns the recent requests of a priority, decayed over rateWindow.
-func (qu *Queue[K]) Requests(priority int) float64 {
-	for _, ln := range qu.lanes {
-		if !ln.late && ln.priority == priority {
-			return ln.requests.sum
-		}
-	}
-	return 0
+// minPresence is the decayed number of requests from which a priority is in use: one within
+// three times rateWindow.
+const minPresence = 0.05
+
+// InUse reports whether there were requests of a priority in the last seconds.
+func (qu *Queue[K]) InUse(now time.Time, priority int) bool {
+	requests := &qu.lane(now, false, priority).requests
+	requests.advance(now, true)
+	return requests.sum >= minPresence
 }
 
 // Len returns the number of items.
--- a/core/jpadmission/queue_test.go
+++ b/core/jpadmission/queue_test.go
@@ -84,6 +84,9 @@
 				qu.NoteRequest(at(no), 3)
 			}
 		}
+		if now := at(79); !qu.InUse(now, 3) || qu.InUse(now.Add(15*time.Second), 3) {
+			t.Errorf("%s: a priority is not in use at its requests, or still is 15 s later", row.name)
+		}
 		if released[2] != row.want/2 || released[3] != row.want/2 {
 			t.Errorf("%s: releases by priority %v, want %d of each lower one", row.name, released, row.want/2)
 		}
--- a/core/jpdispatch/admit.go
+++ b/core/jpdispatch/admit.go
@@ -10,11 +10,9 @@
 	"jacinthpass/core/jpdirectory"
 )
 
-const (
-	// retryPercent is the share of repeated attempts among those that wait at a full
-	// service, in percent of its new flows.
-	retryPercent = 10
-)
+// retryPercent bounds the repeated attempts that wait for a service, in percent of its
+// new flows.
+const retryPercent = 10
 
 // gate is the admission state of one service.
 type gate struct {
@@ -99,7 +97,7 @@
 // observe tells the limits how full the service is, if routes of several priorities use it.
 func (gt *gate) observe(now time.Time, sc *service, es jpcapacity.Estimate) {
 	fill := es.Fill()
-	if es.Guess || len(sc.ranks) < 2 || gt.queue.Requests(sc.ranks[0]) == 0 {
+	if es.Guess || len(sc.ranks) < 2 || !gt.queue.InUse(now, sc.ranks[0]) {
 		fill = 0
 	}
 	gt.limits.Observe(now, fill)
