--- a/core/jpadmission/queue.go
+++ b/core/jpadmission/queue.go
@@ -46,9 +46,15 @@
 // NewQueue returns a queue of at most limit items.
 func NewQueue[K comparable](limit int) *Queue[K] { return &Queue[K]{limit: limit} }
 
-// Waits reports whether an item of a priority waits that can still meet its target.
-func (qu *Queue[K]) Waits(priority int) bool {
-	return slices.ContainsFunc(qu.lanes, func(ln *lane[K]) bool { return !ln.late && ln.priority == priority && len(ln.items) > 0 })
+// minPresence is the decayed number of requests from which a priority is in use: one within
+// three times rateWindow.
+const minPresence = 0.05
+
+// InUse reports whether there were requests of a priority in the last seconds.
+func (qu *Queue[K]) InUse(now time.Time, priority int) bool {
+	requests := &qu.lane(now, false, priority).requests
+	requests.advance(now, true)
+	return requests.sum >= minPresence
 }
 
 // Len returns the number of items.
