lint: review of a configuration before it is sent

A verb of both commands reads a configuration from a file or the standard input and prints errors with their place, entries that never match, limits that contradict each other, and what differs from the version in force, as tables or JSON; exit codes 0, 1 and 2.

--- a/cmd/jacinthpass-entry/main.go
+++ b/cmd/jacinthpass-entry/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"os"
@@ -14,11 +15,17 @@
 	"k8s.io/klog/v2"
 
 	"jacinthpass/io/jpentry"
+	"jacinthpass/io/jplintcmd"
 	"jacinthpass/platform"
 )
 
 func main() {
-	if err := newRootCommand().Execute(); err != nil {
+	err := newRootCommand().Execute()
+	var ee *jplintcmd.ExitError
+	if errors.As(err, &ee) {
+		os.Exit(ee.Code)
+	}
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "jacinthpass-entry:", err)
 		os.Exit(1)
 	}
@@ -31,7 +38,10 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newRunCommand(), newCheckCommand())
+	root.AddCommand(
+		newRunCommand(), newCheckCommand(),
+		jplintcmd.New("Review a configuration of routes and services before it is sent; - reads standard input", platform.Review),
+	)
 	return root
 }
 
--- a/cmd/jacinthpass/main.go
+++ b/cmd/jacinthpass/main.go
@@ -13,6 +13,7 @@
 
 	"github.com/spf13/cobra"
 
+	"jacinthpass/io/jplintcmd"
 	"jacinthpass/io/jpoperator"
 )
 
@@ -41,6 +42,10 @@
 	if err == nil {
 		return 0
 	}
+	var ee *jplintcmd.ExitError
+	if errors.As(err, &ee) {
+		return ee.Code
+	}
 	fmt.Fprintln(errOut, "jacinthpass:", err)
 	return exitCode(err)
 }
@@ -69,6 +74,7 @@
 	root.AddCommand(
 		newInstanceCommand(),
 		newCheckCommand(),
+		jplintcmd.New("Review settings before they are applied; - reads standard input", reviewSettings),
 		newApplyCommand(),
 		newShowCommand(),
 		newExplainCommand(),
