--- a/core/jpsplit/spill.go
+++ b/core/jpsplit/spill.go
@@ -4,12 +4,16 @@
 
 const (
 	// fullAt is the number of requests for each slot above which flows spill to other
-	// targets, and up to which these take them. A part of the requests is on its way to a
-	// slot or back, so that slots are free up to a little more. From overfullAt on the
-	// spilled part grows at its greatest rate.
+	// targets. A part of the requests is on its way to a slot or back, so that slots are
+	// free up to a little more. From overfullAt on the spilled part grows at its greatest
+	// rate.
 	fullAt     = 0.9
 	overfullAt = 1.4
 
+	// openTo is the number of requests for each slot up to which a target takes spilled
+	// flows. The rest is for the peaks of its own callers.
+	openTo = 0.8
+
 	// steepness weighs the room of a target against the need of another one. It is below
 	// the value at which loads of half a second ago make the spilled part swing.
 	steepness = 2
@@ -139,9 +143,9 @@
 	case to.unknown() && ld.Slots > 0:
 		return 0
 	case to.unknown():
-		return fullAt * to.Slots
+		return openTo * to.Slots
 	}
-	return fullAt*to.Slots - to.Requests
+	return openTo*to.Slots - to.Requests
 }
 
 // shareOfRoom returns which part of all rooms for the requests of a target another one has.
