jpspeed: a slow-down shows sooner; fewer response times that say nothing

Cause: samples of before the slow-down outweighed the few of a slow server for 4 s; a flow that came back to an instance, or one that was forgotten, counted with the whole time in between. Change: two sums of samples with time constants of 0.7 and 2.5 s; a response counts only if the caller's packet acknowledges it alone and shows that no later request went elsewhere.

--- a/core/jpdispatch/dispatcher.go
+++ b/core/jpdispatch/dispatcher.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"net/netip"
 	"slices"
 	"sort"
@@ -10,6 +9,7 @@
 
 	"jacinthpass/core/jpdirectory"
 	"jacinthpass/core/jpflow"
+	"jacinthpass/core/jpspeed"
 )
 
 const (
@@ -73,7 +73,7 @@
 	cutEvidence    map[string]cutEvidence // by data centre
 	unknownTags    map[uint32]time.Time   // first packet with the tag, by tag
 	routelessFlows map[FlowKey]time.Time  // first packet of an open flow whose route is not known
-	routeSpeeds    map[routeSpeedKey]*routeSpeed
+	usualTimes     map[usualKey]*jpspeed.Usual
 	nextSpeeds     time.Time // next update of the beliefs about servers' speeds
 	admission      admission
 	lastTick       time.Time
@@ -90,7 +90,9 @@
 	servers []*server // of this instance's data centre first
 	local   int       // number of servers in this instance's data centre
 	pool    *pool
-	unheard float64 // instances that use the servers, over those that report to this one; see queueing
+
+	learnsSpeed bool
+	unheard     float64 // instances that use the servers, over those that report to this one; see queueing
 }
 
 // New returns the dispatcher of an instance in a data centre.
@@ -110,7 +112,7 @@
 		cutEvidence:    map[string]cutEvidence{},
 		unknownTags:    map[uint32]time.Time{},
 		routelessFlows: map[FlowKey]time.Time{},
-		routeSpeeds:    map[routeSpeedKey]*routeSpeed{},
+		usualTimes:     map[usualKey]*jpspeed.Usual{},
 		admission:      admission{gates: map[string]*gate{}, waiters: map[FlowKey]*waiter{}},
 	}
 }
@@ -207,9 +209,7 @@
 		services[cfg.Name] = sc
 	}
 	ds.services = services
-	maps.DeleteFunc(ds.routeSpeeds, func(key routeSpeedKey, _ *routeSpeed) bool {
-		return ds.routes[key.route] == nil || ds.services[key.service] == nil
-	})
+	ds.applyLearning()
 	ds.rankPriorities()
 	ds.assignSplits(mf)
 }
--- a/core/jpdispatch/failure.go
+++ b/core/jpdispatch/failure.go
@@ -60,7 +60,6 @@
 // noteGivenUp records that the flow ends. A request that is overdue then counts
 // as given up by the caller.
 func (ds *Dispatcher) noteGivenUp(now time.Time, fl *flow) {
-	ds.noteSlow(now, fl)
 	if sr := fl.server; sr != nil && fl.awaitingAnswer && ds.answerOverdue(now, fl) && len(sr.failureExpiries) < maxFailures {
 		sr.failureExpiries = append(sr.failureExpiries, now.Add(failureWindow))
 	}
--- a/core/jpdispatch/flow.go
+++ b/core/jpdispatch/flow.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"jacinthpass/core/jpspeed"
 )
 
 const (
@@ -52,7 +54,7 @@
 	lastSeenAt     time.Time               // latest packet of the flow at this instance
 	triedTags      [maxTriedServers]uint32 // tags of the servers that got the SYN
 	triedCount     int
-	speed          *routeSpeed // of the unanswered request, nil if its time is no sample
+	usual          *jpspeed.Usual // response time of such requests, nil if that of the unanswered one is no sample
 }
 
 // activate counts the flow as load of its server.
--- a/core/jpdispatch/handle.go
+++ b/core/jpdispatch/handle.go
@@ -117,6 +117,7 @@
 	sr := ds.serversByTag[pk.Tag]
 	if fl != nil {
 		sr = fl.server
+		ds.noteGivenUpSpeed(now, fl, pk)
 		ds.noteGivenUp(now, fl)
 		ds.removeFlow(key, fl)
 	}
@@ -213,6 +214,7 @@
 	fl.lastSeenAt = now
 	if pk.Flags&FIN != 0 && fl.state != closing {
 		fl.state = closing
+		ds.noteGivenUpSpeed(now, fl, pk)
 		ds.noteGivenUp(now, fl)
 	}
 	if fl.state == closing {
@@ -289,7 +291,7 @@
 		if fl.lastAck != 0 && !ds.mayHaveWaited(pk) {
 			ds.noteAnswered(now, sr)
 			ds.noteResponse(now, fl)
-			ds.noteSpeed(now, fl)
+			ds.noteSpeed(now, fl, pk)
 		}
 		fl.lastAck = pk.Ack
 		fl.clearWaiting()
--- a/core/jpdispatch/speed.go
+++ b/core/jpdispatch/speed.go
@@ -1,6 +1,7 @@
 package jpdispatch
 
 import (
+	"maps"
 	"math"
 	"net/netip"
 	"time"
@@ -21,12 +22,8 @@
 	speedLogFactor = 1.5
 )
 
-// routeSpeed is the usual response time of a route's requests to one service.
-type routeSpeed struct {
-	usual jpspeed.Usual
-}
-
-type routeSpeedKey struct {
+// usualKey names the requests whose response times are compared.
+type usualKey struct {
 	route   netip.AddrPort
 	service string
 }
@@ -48,24 +45,28 @@
 	return rt != nil && rt.TargetLatency > 0 && rt.Kind != jpdirectory.Download
 }
 
-// learnedServices returns the services whose servers' speeds are learned.
-func (ds *Dispatcher) learnedServices() map[string]bool {
-	learned := map[string]bool{}
+// applyLearning finds the services whose servers' speeds are learned, after a change of
+// the manifest.
+func (ds *Dispatcher) applyLearning() {
 	for _, rt := range ds.routes {
 		if !learnsSpeed(rt) {
 			continue
 		}
 		for _, tg := range rt.Targets {
-			learned[tg.Service] = true
+			if sc := ds.services[tg.Service]; sc != nil {
+				sc.learnsSpeed = true
+			}
 		}
 	}
-	return learned
+	maps.DeleteFunc(ds.usualTimes, func(key usualKey, _ *jpspeed.Usual) bool {
+		return ds.routes[key.route] == nil || ds.services[key.service] == nil
+	})
 }
 
 // startTiming prepares the sample of a request whose data has just been forwarded, if
 // it can be one.
 func (ds *Dispatcher) startTiming(now time.Time, fl *flow, pk Packet, seenBefore bool) {
-	fl.speed = nil
+	fl.usual = nil
 	sr := fl.server
 	if !seenBefore || !learnsSpeed(ds.routes[pk.Route]) || ds.mayHaveWaited(pk) {
 		return
@@ -74,40 +75,46 @@
 	if sc == nil || sr.cold(now, sc) {
 		return
 	}
-	key := routeSpeedKey{pk.Route, sr.cfg.Service}
-	rs := ds.routeSpeeds[key]
-	if rs == nil {
-		rs = &routeSpeed{}
-		ds.routeSpeeds[key] = rs
+	key := usualKey{pk.Route, sr.cfg.Service}
+	fl.usual = ds.usualTimes[key]
+	if fl.usual == nil {
+		fl.usual = &jpspeed.Usual{}
+		ds.usualTimes[key] = fl.usual
 	}
-	fl.speed = rs
 }
 
-// noteSpeed adds the sample of a request that has been answered.
-func (ds *Dispatcher) noteSpeed(now time.Time, fl *flow) {
-	rs := fl.speed
-	if rs == nil || !fl.awaitingAnswer || !fl.sentAt.After(ds.evidenceSince) {
+// noteSpeed adds the sample of a request whose response a packet acknowledges. It is none
+// if the packet carries the next request, which the caller sends in its own time, or if an
+// earlier one went through another instance.
+func (ds *Dispatcher) noteSpeed(now time.Time, fl *flow, pk Packet) {
+	if !ds.timed(fl, pk) || pk.Length > 0 {
 		return
 	}
 	took := now.Sub(fl.sentAt)
-	ratio := rs.usual.Ratio(took)
-	rs.usual.Add(took)
-	if ratio > 0 {
+	if ratio := fl.usual.Ratio(took); ratio > 0 {
 		fl.server.speed.Add(now, ratio/ds.queueing(now, fl.server))
 	}
+	fl.usual.Add(took)
 }
 
-// noteSlow adds the sample of a request whose caller has given up. It would have
-// taken at least as long as the caller has waited.
-func (ds *Dispatcher) noteSlow(now time.Time, fl *flow) {
-	if fl.speed == nil || !fl.awaitingAnswer || !fl.sentAt.After(ds.evidenceSince) {
+// noteGivenUpSpeed adds the sample of a request whose caller gives up with a packet. It
+// would have taken at least as long as the caller has waited.
+func (ds *Dispatcher) noteGivenUpSpeed(now time.Time, fl *flow, pk Packet) {
+	if !ds.timed(fl, pk) {
 		return
 	}
-	if ratio := fl.speed.usual.Ratio(now.Sub(fl.sentAt)) / ds.queueing(now, fl.server); ratio > 1 {
+	if ratio := fl.usual.Ratio(now.Sub(fl.sentAt)) / ds.queueing(now, fl.server); ratio > 1 {
 		fl.server.speed.Add(now, ratio)
 	}
 }
 
+// timed reports whether the time since the flow's unanswered request was sent says how
+// long the server has taken: this instance was not paused, and a packet of the caller
+// shows that no later request went through another instance.
+func (ds *Dispatcher) timed(fl *flow, pk Packet) bool {
+	return fl.usual != nil && fl.awaitingAnswer && fl.sentAt.After(ds.evidenceSince) && pk.Sequence == fl.pendingEnd
+}
+
 // queueing returns the factor by which requests take longer because the server has more
 // of them than slots. Instances that are not heard are taken to be like the others.
 func (ds *Dispatcher) queueing(now time.Time, sr *server) float64 {
@@ -134,16 +141,9 @@
 		return nil
 	}
 	ds.nextSpeeds = now.Add(speedInterval)
-	learned := ds.learnedServices()
 	var list []SpeedChange
-	for name, sc := range ds.services {
-		if !learned[name] {
-			for _, sr := range sc.servers {
-				sr.speed = jpspeed.Estimate{}
-			}
-		} else {
-			ds.updateSpeeds(now, sc)
-		}
+	for _, sc := range ds.services {
+		ds.updateSpeeds(now, sc)
 		for _, sr := range sc.servers {
 			if sc, changed := sr.speedChange(now); changed {
 				list = append(list, sc)
@@ -153,18 +153,24 @@
 	return list
 }
 
+// updateSpeeds updates the beliefs about the servers of a service. Nothing is known of
+// those that are cold or whose speed is not learned.
 func (ds *Dispatcher) updateSpeeds(now time.Time, sc *service) {
 	estimates := make([]*jpspeed.Estimate, 0, len(sc.servers))
 	for _, sr := range sc.servers {
-		if sr.cold(now, sc) {
+		if !sc.learnsSpeed || sr.cold(now, sc) {
 			sr.speed = jpspeed.Estimate{}
+			continue
 		}
 		estimates = append(estimates, &sr.speed)
 	}
+	if len(estimates) == 0 {
+		return
+	}
 	spread := 0.0
-	for key, rs := range ds.routeSpeeds {
+	for key, us := range ds.usualTimes {
 		if key.service == sc.cfg.Name {
-			spread = max(spread, rs.usual.Spread())
+			spread = max(spread, us.Spread())
 		}
 	}
 	jpspeed.Update(now, estimates, spread)
--- a/core/jpdispatch/speed_test.go
+++ b/core/jpdispatch/speed_test.go
@@ -34,12 +34,12 @@
 		{"failed at once", latencyRoute, func(hn *harness, pk Packet) { hn.Handle(at(10_000), pk); answer(hn, 10_001, pk) }, 1, 0.5, 0.5},
 		{"given up", latencyRoute, func(hn *harness, pk Packet) {
 			hn.Handle(at(10_000), pk)
-			pk.Flags, pk.Length = RST, 0
+			pk.Flags, pk.Sequence, pk.Length = RST, pk.Sequence+100, 0
 			hn.Handle(at(10_300), pk)
 		}, 1, 9, 11},
 		{"given up early", latencyRoute, func(hn *harness, pk Packet) {
 			hn.Handle(at(10_000), pk)
-			pk.Flags, pk.Length = RST, 0
+			pk.Flags, pk.Sequence, pk.Length = RST, pk.Sequence+100, 0
 			hn.Handle(at(10_010), pk)
 		}, 0, 0, 0},
 		{"paused meanwhile", latencyRoute, func(hn *harness, pk Packet) {
@@ -58,6 +58,20 @@
 			hn.Handle(at(10_000), pk)
 			answer(hn, 10_150, pk)
 		}, 0, 0, 0},
+		{"acknowledged with the next request", latencyRoute, func(hn *harness, pk Packet) {
+			hn.Handle(at(10_000), pk)
+			pk.Sequence, pk.Ack = pk.Sequence+100, pk.Ack+500
+			hn.Handle(at(10_150), pk)
+		}, 0, 0, 0},
+		{"later request through another instance", latencyRoute, func(hn *harness, pk Packet) {
+			hn.Handle(at(10_000), pk)
+			pk.Sequence += 100
+			answer(hn, 10_150, pk)
+		}, 0, 0, 0},
+		{"flow unused until it is forgotten", latencyRoute, func(hn *harness, pk Packet) {
+			hn.Handle(at(10_000), pk)
+			hn.runTicks(at(10_000), at(16_000))
+		}, 0, 0, 0},
 		{"no response", latencyRoute, func(hn *harness, pk Packet) {
 			hn.Handle(at(10_000), pk)
 			pk.Sequence, pk.Length = pk.Sequence+100, 0
--- a/core/jpspeed/estimate.go
+++ b/core/jpspeed/estimate.go
@@ -13,9 +13,11 @@
 	// The median of the groups' means holds if all sources of one group are wrong.
 	groupCount = 3
 
-	// memory is the time constant with which samples lose their weight: two thirds of what
-	// is known 2 s after a change were observed since.
-	memory = 2 * time.Second
+	// shortMemory and longMemory are the time constants with which samples lose their
+	// weight. The short one shows a server that slows down within a second or two, the
+	// long one what few samples show.
+	shortMemory = 700 * time.Millisecond
+	longMemory  = 2500 * time.Millisecond
 
 	// decayStep is the shortest time after which weights are adapted.
 	decayStep = 50 * time.Millisecond
@@ -34,7 +36,7 @@
 	minServers = 3
 
 	// confidence is the number of standard errors by which a server must exceed the others.
-	confidence = 2
+	confidence = 2.5
 
 	// deadBand is the slowness below which no belief begins, negligible that below which
 	// it ends.
@@ -53,7 +55,8 @@
 // Estimate is what one instance knows of the speed of one server. The zero value knows
 // nothing: the server counts as fast as the others.
 type Estimate struct {
-	groups    [groupCount]group
+	short     groups // samples weighted by their age with shortMemory
+	long      groups // the same with longMemory
 	decayedAt time.Time
 	nextGroup int     // of this instance's next sample
 	unsent    float64 // sum of the logarithms of this instance's ratios since the last report
@@ -63,8 +66,8 @@
 	sampledAt time.Time // latest sample or report
 }
 
-// group holds samples of several sources, weighted by their age.
-type group struct {
+// groups holds samples, weighted by their age. Those of one peer are in one group.
+type groups [groupCount]struct {
 	sum    float64 // of weighted logarithms of ratios
 	weight float64
 }
@@ -79,13 +82,7 @@
 }
 
 // Samples returns the number of recent samples, weighted by age.
-func (es *Estimate) Samples() float64 {
-	total := 0.0
-	for _, gr := range es.groups {
-		total += gr.weight
-	}
-	return total
-}
+func (es *Estimate) Samples() float64 { return es.long.weight() }
 
 // SampledAt returns the time of the latest sample or report, zero if there was none.
 func (es *Estimate) SampledAt() time.Time { return es.sampledAt }
@@ -110,8 +107,8 @@
 
 func (es *Estimate) add(now time.Time, ix int, value, weight float64) {
 	es.decay(now)
-	es.groups[ix].sum += weight * value
-	es.groups[ix].weight += weight
+	es.short.add(ix, value, weight)
+	es.long.add(ix, value, weight)
 	es.sampledAt = now
 }
 
@@ -122,13 +119,30 @@
 		return
 	}
 	es.decayedAt = now
-	factor := math.Exp(-float64(age) / float64(memory))
-	for ix := range es.groups {
-		es.groups[ix].sum *= factor
-		es.groups[ix].weight *= factor
+	es.short.scale(math.Exp(-float64(age) / float64(shortMemory)))
+	es.long.scale(math.Exp(-float64(age) / float64(longMemory)))
+}
+
+func (gr *groups) add(ix int, value, weight float64) {
+	gr[ix].sum += weight * value
+	gr[ix].weight += weight
+}
+
+func (gr *groups) scale(factor float64) {
+	for ix := range gr {
+		gr[ix].sum *= factor
+		gr[ix].weight *= factor
 	}
 }
 
+func (gr *groups) weight() float64 {
+	total := 0.0
+	for _, one := range gr {
+		total += one.weight
+	}
+	return total
+}
+
 // TakeSummary returns what this instance has observed since the last call.
 func (es *Estimate) TakeSummary() Summary {
 	if es.unsentNum == 0 {
@@ -139,24 +153,33 @@
 	return sm
 }
 
-// observed returns the median of the groups' mean logarithms, the lower one of two. It
-// returns false if there are too few samples, or only those of one group.
-func (es *Estimate) observed() (float64, bool) {
+// mean returns the median of the groups' mean logarithms, the lower one of two. It returns
+// false if there are too few samples, or only those of one group.
+func (gr *groups) mean() (float64, bool) {
 	var means [groupCount]float64
 	count := 0
-	for _, gr := range es.groups {
-		if gr.weight >= minGroupWeight {
-			means[count] = gr.sum / gr.weight
+	for _, one := range gr {
+		if one.weight >= minGroupWeight {
+			means[count] = one.sum / one.weight
 			count++
 		}
 	}
-	if count < 2 || es.Samples() < minWeight {
+	if count < 2 || gr.weight() < minWeight {
 		return 0, false
 	}
 	slices.Sort(means[:count])
 	return means[(count-1)/2], true
 }
 
+// excess returns by how much the mean exceeds what is usual, 0 if the samples don't show it.
+func (gr *groups) excess(usual, spread float64) float64 {
+	mean, ok := gr.mean()
+	if !ok || mean-usual <= confidence*spread/math.Sqrt(gr.weight()) {
+		return 0
+	}
+	return mean - usual
+}
+
 // Update updates the beliefs about all servers of a service. Slowness is relative to the
 // median of the servers, so that nobody is slow if all are. spread is that of the
 // service's response times, 0 if not known.
@@ -164,7 +187,7 @@
 	known := make([]float64, 0, len(list))
 	for _, es := range list {
 		es.decay(now)
-		if value, ok := es.observed(); ok {
+		if value, ok := es.long.mean(); ok {
 			known = append(known, value)
 		}
 	}
@@ -184,10 +207,7 @@
 // update updates the belief, given the logarithm of the ratio that is usual among the
 // servers of the service.
 func (es *Estimate) update(now time.Time, usual, spread float64) {
-	shown := 0.0
-	if value, ok := es.observed(); ok && value-usual > confidence*spread/math.Sqrt(es.Samples()) {
-		shown = value - usual
-	}
+	shown := max(es.short.excess(usual, spread), es.long.excess(usual, spread))
 	elapsed := now.Sub(es.updatedAt)
 	es.updatedAt = now
 	switch {
--- a/core/jpspeed/estimate_test.go
+++ b/core/jpspeed/estimate_test.go
@@ -86,13 +86,13 @@
 	for _, tc := range []struct {
 		name  string
 		later []observation
-		max   float64 // 8 s later
+		max   float64 // 10 s later
 	}{
-		{"recovered", usual, 1.3},
+		{"recovered", usual, 1.2},
 		{"not tried", nil, 2},
 	} {
 		list := []*Estimate{{}, {}, {}}
-		for ms := 0; ms < 11_000; ms += 500 {
+		for ms := 0; ms < 13_000; ms += 500 {
 			first := slow
 			if ms >= 3000 {
 				first = tc.later
