--- a/core/jpadmission/queue_test.go
+++ b/core/jpadmission/queue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -186,28 +187,30 @@
 // Guards against lower priorities that take what a waiting higher one needs, and against a
 // reserve that stays.
 func TestLimits(t *testing.T) {
-	var lm Limits
-	low := func() float64 { return lm.PerSlot(400*time.Millisecond, 30*time.Millisecond, 1, 2) }
-	for ms := range 500 {
-		lm.Observe(at(ms), false)
-	}
-	if low() != maxPerSlot {
-		t.Errorf("limit %v while nothing waits, want %v", low(), maxPerSlot)
-	}
-	for ms := range 500 {
-		lm.Observe(at(500+ms), true)
-	}
-	if low() != minPerSlot {
-		t.Errorf("limit %v while the highest priority waits, want %v", low(), minPerSlot)
-	}
-	if high := lm.PerSlot(400*time.Millisecond, 30*time.Millisecond, 0, 2); high != maxPerSlot {
-		t.Errorf("limit %v of the highest priority, want %v", high, maxPerSlot)
-	}
-	lm.Observe(at(10_000), false)
-	if low() != maxPerSlot {
-		t.Errorf("limit %v long afterwards, want %v", low(), maxPerSlot)
+	const target, usual = 400 * time.Millisecond, 20 * time.Millisecond
+	high, low := Class{Target: target, Usual: usual, Ranks: 2}, Class{Target: target, Usual: usual, Rank: 1, Ranks: 2}
+	slow, late := high, high
+	slow.Usual, late.Late = 200*time.Millisecond, true
+	rows := []struct {
+		name           string
+		waitsUntil, at int // ms
+		class          Class
+		want           float64
+	}{
+		{"nothing waits", 0, 500, low, lowestLimit},
+		{"highest priority waits", 1500, 1500, low, reservedLimit},
+		{"highest priority waits", 1500, 1500, high, highestLimit},
+		{"waited long ago", 1500, 6500, low, lowestLimit},
+		{"slow requests", 0, 500, slow, 1.5},
+		{"late", 0, 500, late, reservedLimit},
 	}
-	if slow := lm.PerSlot(400*time.Millisecond, 200*time.Millisecond, 0, 2); slow != 1.5 {
-		t.Errorf("limit %v of slow requests, want 1.5", slow)
+	for _, row := range rows {
+		var lm Limits
+		for ms := 0; ms <= row.at; ms += 10 {
+			lm.Observe(at(ms), ms <= row.waitsUntil && row.waitsUntil > 0)
+		}
+		if got := lm.PerSlot(row.class); math.Abs(got-row.want) > 1e-9 {
+			t.Errorf("%s: limit %v for %+v, want %v", row.name, got, row.class, row.want)
+		}
 	}
 }
--- a/core/jpdispatch/admit.go
+++ b/core/jpdispatch/admit.go
@@ -81,13 +81,18 @@
 }
 
 // perSlot returns how many requests for each slot a service may have when a flow of a
-// route is added. An assured release is one in the place of a flow of the highest priority.
-func (gt *gate) perSlot(sc *service, rt *jpdirectory.Route, assured bool) float64 {
+// route is added.
+func (gt *gate) perSlot(sc *service, rt *jpdirectory.Route, late bool) float64 {
 	rank, _ := slices.BinarySearch(sc.ranks, rt.Priority)
-	if assured {
-		rank = 0
-	}
-	return gt.limits.PerSlot(rt.TargetLatency, gt.usual.Get(), rank, len(sc.ranks))
+	return gt.limits.PerSlot(jpadmission.Class{
+		Target: rt.TargetLatency, Usual: gt.usual.Get(), Rank: rank, Ranks: len(sc.ranks), Late: late,
+	})
+}
+
+// assuredPerSlot returns the limit for a flow of a route that is released in the place of
+// one of the highest priority.
+func (gt *gate) assuredPerSlot(sc *service, rt *jpdirectory.Route) float64 {
+	return gt.limits.PerSlot(jpadmission.Class{Target: rt.TargetLatency, Usual: gt.usual.Get(), Ranks: len(sc.ranks)})
 }
 
 // observe tells the limits whether flows of the highest priority wait.
@@ -111,13 +116,10 @@
 	}
 }
 
-// itemOf returns the item of a flow that would have to wait. It waits no longer than it
-// can be served in time: what is served late takes the place of others.
+// itemOf returns the item of a flow that would have to wait.
 func (gt *gate) itemOf(now time.Time, rt *jpdirectory.Route, pk Packet) jpadmission.Item[FlowKey] {
-	inTime := rt.TargetLatency - gt.usual.Get()
 	return jpadmission.Item[FlowKey]{
-		Key: keyOf(pk), Priority: rt.Priority,
-		Deadline: now.Add(inTime), Expires: now.Add(min(max(inTime, minWait), maxWait)),
+		Key: keyOf(pk), Priority: rt.Priority, Deadline: now.Add(rt.TargetLatency - gt.usual.Get()), Expires: now.Add(maxWait),
 	}
 }
 
