--- a/core/jpdispatch/speed.go
+++ b/core/jpdispatch/speed.go
@@ -115,14 +115,15 @@
 	return fl.usual != nil && fl.awaitingAnswer && fl.sentAt.After(ds.evidenceSince) && pk.Sequence == fl.pendingEnd
 }
 
-// queueing returns the factor by which requests take longer because the server has more
-// of them than slots. Instances that are not heard are taken to be like the others.
+// queueing returns the factor by which the request that ends now has taken longer because
+// the server had more of them than slots. Instances that are not heard are taken to be like
+// the others.
 func (ds *Dispatcher) queueing(now time.Time, sr *server) float64 {
-	requests := float64(sr.requests) + sr.peerRequests(now)
+	others := float64(max(sr.requests-1, 0)) + sr.peerRequests(now)
 	if sc := ds.services[sr.cfg.Service]; sc != nil {
-		requests *= max(sc.unheard, 1)
+		others *= max(sc.unheard, 1)
 	}
-	return max(requests/float64(max(sr.cfg.Slots, 1)), 1)
+	return max((1+others)/float64(max(sr.cfg.Slots, 1)), 1)
 }
 
 // SpeedChange reports a change of the belief about a server's speed.
--- a/core/jpspeed/estimate_test.go
+++ b/core/jpspeed/estimate_test.go
@@ -45,7 +45,7 @@
 		{"fast", ratio(0.01), usual, 4000, 1, 1},
 		{"all slow", ratio(5), ratio(5), 4000, 1, 1},
 		{"all but this one slow", usual, ratio(5), 4000, 1, 1},
-		{"two servers of five, a peer's word", append([]observation{{"p3", 16, 1 << 30}}, usual...), usual, 4000, 1, 1},
+		{"a peer's word against the others", append([]observation{{"p3", 16, 1 << 30}}, usual...), usual, 4000, 1, 1},
 		{"only one peer", []observation{{"p3", 16, 100}}, usual, 4000, 1, 1},
 		{"one sample", []observation{{"", 8, 1}}, usual, 500, 1, 1},
 		{"not a number", []observation{{"p1", math.NaN(), 9}, {"p2", math.Inf(1), -1}, {"p4", -3, 9}}, usual, 4000, 1, 1},
