--- a/core/jpdispatch/speed.go
+++ b/core/jpdispatch/speed.go
@@ -146,8 +146,8 @@
 	for _, sc := range ds.services {
 		ds.updateSpeeds(now, sc)
 		for _, sr := range sc.servers {
-			if sc, changed := sr.speedChange(now); changed {
-				list = append(list, sc)
+			if change, changed := sr.speedChange(now); changed {
+				list = append(list, change)
 			}
 		}
 	}
@@ -188,9 +188,9 @@
 		return SpeedChange{}, false
 	}
 	sr.loggedSlowness = to
-	sc := SpeedChange{Server: sr.cfg.ID, From: from, To: to, Samples: sr.speed.Samples()}
+	change := SpeedChange{Server: sr.cfg.ID, From: from, To: to, Samples: sr.speed.Samples()}
 	if at := sr.speed.SampledAt(); !at.IsZero() {
-		sc.Age = now.Sub(at)
+		change.Age = now.Sub(at)
 	}
-	return sc, true
+	return change, true
 }
