--- a/io/jpentry/metrics.go
+++ b/io/jpentry/metrics.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -27,6 +28,10 @@
 	packetsByReason [jpdispatch.Reasons]atomic.Uint64
 	resetsByReason  [jpdispatch.Reasons]atomic.Uint64 // of open flows
 	tagDiffers      atomic.Uint64
+	waits           [waitOutcomes][priorityLabels]atomic.Uint64
+	waitTime        atomic.Int64 // total time that flows have waited, ns
+	waitingFlows    atomic.Int64
+	spilled         sync.Map // *atomic.Uint64 by service that the weights had selected
 	malformed       atomic.Uint64
 	droppedNotReady atomic.Uint64 // packets for which HoldQueue had no room
 	readErrors      atomic.Uint64
@@ -73,6 +78,10 @@
 	if dc.Outcome == jpdispatch.Reset {
 		mt.resetsByReason[dc.Reason].Add(1)
 	}
+	if dc.SpilledFrom != "" {
+		count, _ := mt.spilled.LoadOrStore(dc.SpilledFrom, new(atomic.Uint64))
+		count.(*atomic.Uint64).Add(1)
+	}
 	if dc.TagDiffers {
 		mt.tagDiffers.Add(1)
 	}
@@ -87,6 +96,7 @@
 func (mt *metrics) updateGauges(stats jpdispatch.Stats, revision, calls uint64) {
 	mt.flows.Store(int64(stats.Flows))
 	mt.servers.Store(int64(stats.Servers))
+	mt.waitingFlows.Store(int64(stats.Waiting))
 	mt.silentServers.Store(int64(stats.Silent))
 	mt.failingServers.Store(int64(stats.Failing))
 	mt.revision.Store(revision)
@@ -115,6 +125,11 @@
 		name := jpdispatch.CheckResult(result).String()
 		reportCounter("checks_total", map[string]string{"result": name}, name, mt.checksByResult[result].Load())
 	}
+	mt.spilled.Range(func(service, count any) bool {
+		name := service.(string)
+		reportCounter("spilled_flows_total", map[string]string{"service": name}, name, count.(*atomic.Uint64).Load())
+		return true
+	})
 	for _, ct := range []struct {
 		name string
 		from *atomic.Uint64
@@ -129,6 +144,16 @@
 	} {
 		reportCounter(ct.name, nil, "", ct.from.Load())
 	}
+	for outcome := range mt.waits {
+		for priority := range mt.waits[outcome] {
+			if count := mt.waits[outcome][priority].Load(); count > 0 {
+				label := strconv.Itoa(priority)
+				tags := map[string]string{"outcome": waitOutcomeNames[outcome], "priority": label}
+				reportCounter("waits_total", tags, tags["outcome"]+label, count)
+			}
+		}
+	}
+	reportCounter("wait_milliseconds_total", nil, "", uint64(mt.waitTime.Load()/int64(time.Millisecond)))
 	reportCounter("log_lines_dropped_total", map[string]string{"reason": "budget"}, "budget", dropped.rateLimited)
 	reportCounter("log_lines_dropped_total", map[string]string{"reason": "queue"}, "queue", dropped.queueFull)
 	for direction, traffic := range map[string]map[string]jppeer.MessageTraffic{"sent": peers.Written, "received": peers.Read} {
@@ -151,6 +176,7 @@
 	}
 	scope.Gauge("peers").Update(float64(peers.OutgoingConnections))
 	scope.Gauge("flows").Update(float64(mt.flows.Load()))
+	scope.Gauge("waiting_flows").Update(float64(mt.waitingFlows.Load()))
 	scope.Gauge("servers").Update(float64(mt.servers.Load()))
 	scope.Gauge("silent_servers").Update(float64(mt.silentServers.Load()))
 	scope.Gauge("failing_servers").Update(float64(mt.failingServers.Load()))
