jpplacement: of many servers, three are compared by flows and recent requests

Cause: all instances of a data centre took the server with the fewest flows in views that are up to 500 ms old, so many took the same one; flows say little of how many requests come on them; and each SYN read all servers. Change: above six available servers in the data centre, three drawn by a hash of the flow are compared by active flows and requests of the last 5 s per slot; peers report the requests begun since their last report. If none of them can take the flow, and for cold, suspected and remote servers, all are read as before.

--- a/core/jpdispatch/capacity.go
+++ b/core/jpdispatch/capacity.go
@@ -87,15 +87,28 @@
 
 // sampleRequests adds the current numbers of requests to what the next report of this
 // instance averages.
-func (ds *Dispatcher) sampleRequests() {
+func (ds *Dispatcher) sampleRequests(now time.Time) {
 	ds.requestSamples++
 	for _, sc := range ds.services {
 		for _, sr := range sc.servers {
 			sr.requestSum += sr.requests
+			if sr.begun > 0 {
+				sr.recent.Add(now, sr.begun)
+				sr.begunSum += sr.begun
+				sr.begun = 0
+			}
 		}
 	}
 }
 
+// takeBegun returns the number of requests that were begun at a server since the last call,
+// up to the latest sample.
+func (sr *server) takeBegun() int {
+	begun := sr.begunSum
+	sr.begunSum = 0
+	return begun
+}
+
 // takeMeanRequests returns the mean number of requests at a server since the last call,
 // from the samples of sampleRequests.
 func (sr *server) takeMeanRequests(samples int) float64 {
--- a/core/jpdispatch/capacity_test.go
+++ b/core/jpdispatch/capacity_test.go
@@ -91,7 +91,7 @@
 	answer.Ack += 500
 	hn.Handle(at(250), answer)
 	hn.runTicks(at(300), at(400))
-	if got := hn.Loads(); len(got) != 1 || got[0] != (Load{Tag: 1, Flows: 1, Held: 1, Requests: 0.5}) {
+	if got := hn.Loads(); len(got) != 1 || got[0] != (Load{Tag: 1, Flows: 1, Held: 1, Requests: 0.5, Begun: 1}) {
 		t.Errorf("loads are %+v", got)
 	}
 	hn.runTicks(at(500), at(600))
--- a/core/jpdispatch/flow.go
+++ b/core/jpdispatch/flow.go
@@ -77,6 +77,9 @@
 	if !fl.requesting && fl.server != nil {
 		fl.requesting = true
 		fl.server.addRequests(1)
+		if fl.state != opening {
+			fl.server.begun++
+		}
 	}
 }
 
--- a/core/jpdispatch/place.go
+++ b/core/jpdispatch/place.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"jacinthpass/core/jpplacement"
 )
 
 // remotePenalty is added to the load per slot of a server in another data centre,
@@ -150,6 +152,9 @@
 	if sc == nil {
 		return nil, 0
 	}
+	if sr, choices := ds.sampleServer(now, sc, pk, fl); sr != nil {
+		return sr, choices
+	}
 	for _, accepts := range []func(time.Time, *service, *server) bool{ds.available, ds.coldAvailable, ds.mayAnswer} {
 		if sr, choices := ds.leastLoaded(now, sc, pk, fl, accepts); sr != nil {
 			return sr, choices
@@ -158,6 +163,48 @@
 	return nil, 0
 }
 
+// sampling compares three servers for each flow. Instances see each other's flows late:
+// if each took the least loaded server of all, many would take the same one. So few
+// servers that sampling would save little are all read.
+var sampling = jpplacement.Policy{Samples: 3}
+
+const maxRead = 6 // servers
+
+// sampleServer selects the server for a new flow among some of this data centre's available
+// ones, by their active flows and recent requests per slot. It returns nil if there are
+// few or none of those compared can take the flow.
+func (ds *Dispatcher) sampleServer(now time.Time, sc *service, pk Packet, fl *flow) (*server, int) {
+	pl := ds.poolOf(now, sc)
+	if pl.remote || len(pl.servers) <= maxRead {
+		return nil, 0
+	}
+	ix, ok := jpplacement.Select(sampling, sample{ds, now, sc, fl, pl.servers}, flowHash(pk, 0))
+	if !ok {
+		return nil, 0
+	}
+	return pl.servers[ix], len(pl.servers)
+}
+
+// sample makes the servers of a pool the candidates for a flow, which may be nil.
+type sample struct {
+	ds      *Dispatcher
+	now     time.Time
+	service *service
+	flow    *flow
+	servers []*server
+}
+
+func (sm sample) Len() int { return len(sm.servers) }
+
+func (sm sample) Load(ix int) (float64, bool) {
+	sr := sm.servers[ix]
+	if !sm.ds.eligible(sm.now, sm.service, sr) || !sm.ds.available(sm.now, sm.service, sr) || sm.flow != nil && sm.flow.hasTried(sr.tag) {
+		return 0, false
+	}
+	slots, flows := sm.ds.concurrency(sm.now, sr), float64(sr.load(sm.now))
+	return (flows + float64(sr.begun) + sr.recent.Value(sm.now)) / slots, flows/slots < remotePenalty
+}
+
 // placeUntracked places a flow for which the flow table has no room. It selects
 // the server by a hash of the flow, so that copies of the SYN reach the same one.
 func (ds *Dispatcher) placeUntracked(now time.Time, sc *service, pk Packet) Decision {
--- a/core/jpdispatch/server.go
+++ b/core/jpdispatch/server.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"jacinthpass/core/jpdirectory"
+	"jacinthpass/core/jpplacement"
 	"jacinthpass/core/jpspeed"
 )
 
@@ -89,23 +90,25 @@
 	present          bool
 	local            bool // in this instance's data centre; set for the servers of services
 	arrivedAt        time.Time
-	answeredAt       time.Time // latest answer that a caller's packet has shown
-	contested        bool      // another present server names its address, and neither is replaced
-	replaced         bool      // another server has accepted a flow at its address
-	heldUntil        time.Time // no new flows before, see contradictionHold
-	successor        *server   // the process that its entry describes after it, at the same address
-	endedAt          time.Time // if there is a successor: flows first seen before this time stay
-	leftAt           time.Time // when this instance learned that it left the directory
-	lastListedAt     time.Time // latest time at which the directory was known to contain it; set when it leaves
-	dataCentreBackAt time.Time // when its data centre came back into service
-	activeFlows      int       // flows of this instance that count as load
-	requests         int       // flows of this instance with a request that has no response yet
-	requestSum       int       // of requests, over the samples since the last report
-	pool             *pool     // that counts requests, nil if none does
-	trackedFlows     int       // flow table entries of this instance
+	answeredAt       time.Time          // latest answer that a caller's packet has shown
+	contested        bool               // another present server names its address, and neither is replaced
+	replaced         bool               // another server has accepted a flow at its address
+	heldUntil        time.Time          // no new flows before, see contradictionHold
+	successor        *server            // the process that its entry describes after it, at the same address
+	endedAt          time.Time          // if there is a successor: flows first seen before this time stay
+	leftAt           time.Time          // when this instance learned that it left the directory
+	lastListedAt     time.Time          // latest time at which the directory was known to contain it; set when it leaves
+	dataCentreBackAt time.Time          // when its data centre came back into service
+	activeFlows      int                // flows of this instance that count as load
+	requests         int                // flows of this instance with a request that has no response yet
+	requestSum       int                // of requests, over the samples since the last report
+	begun            int                // requests of this instance since the last sample, not in recent yet
+	begunSum         int                // requests of this instance since the last report, without begun
+	recent           jpplacement.Recent // requests of this instance and its peers
+	pool             *pool              // that counts requests, nil if none does
+	trackedFlows     int                // flow table entries of this instance
 	peerLoads        map[string]peerLoad
-	peerFlows        int       // sum of peerLoads
-	peerFlowsExpire  time.Time // at most the first expiry in peerLoads
+	peerSum          peerLoad // sum of peerLoads; expires is at most their first expiry
 
 	aliveAt         time.Time // latest evidence that it is alive
 	synAt           time.Time // first SYN since then, zero if none
@@ -122,9 +125,10 @@
 	nextColdAt      time.Time // earliest next flow from this instance while it is cold
 }
 
+// peerLoad is what a peer reported of a server.
 type peerLoad struct {
-	flows   int
-	expires time.Time
+	flows, held int // as in Load
+	expires     time.Time
 }
 
 func newServer(cfg jpdirectory.Server) *server {
@@ -201,33 +205,41 @@
 // load returns the load of the server in flows, as seen by this instance and
 // reported by its peers.
 func (sr *server) load(now time.Time) int {
-	if len(sr.peerLoads) > 0 && !now.Before(sr.peerFlowsExpire) {
+	return sr.localLoad(now) + sr.peers(now).flows
+}
+
+// peers returns the sum of the loads that peers reported.
+func (sr *server) peers(now time.Time) peerLoad {
+	if len(sr.peerLoads) > 0 && !now.Before(sr.peerSum.expires) {
 		sr.sumPeerLoads(now)
 	}
-	return sr.localLoad(now) + sr.peerFlows
+	return sr.peerSum
 }
 
 // setPeerLoad sets the load that a peer reported.
-func (sr *server) setPeerLoad(now time.Time, peer string, flows int) {
-	ld := peerLoad{flows: flows, expires: now.Add(peerLoadTTL)}
+func (sr *server) setPeerLoad(now time.Time, peer string, load Load) {
+	previous := sr.peerLoads[peer]
+	ld := peerLoad{flows: load.Flows, held: load.Held, expires: now.Add(peerLoadTTL)}
 	if len(sr.peerLoads) == 0 {
-		sr.peerFlowsExpire = ld.expires
+		sr.peerSum.expires = ld.expires
 	}
-	sr.peerFlows += flows - sr.peerLoads[peer].flows
+	sr.peerSum.flows += ld.flows - previous.flows
+	sr.peerSum.held += ld.held - previous.held
 	sr.peerLoads[peer] = ld
 }
 
 // sumPeerLoads removes the expired loads of peers and adds up the others.
 func (sr *server) sumPeerLoads(now time.Time) {
-	sr.peerFlows, sr.peerFlowsExpire = 0, now.Add(peerLoadTTL)
+	sr.peerSum = peerLoad{expires: now.Add(peerLoadTTL)}
 	for peer, ld := range sr.peerLoads {
 		if !now.Before(ld.expires) {
 			delete(sr.peerLoads, peer)
 			continue
 		}
-		sr.peerFlows += ld.flows
-		if ld.expires.Before(sr.peerFlowsExpire) {
-			sr.peerFlowsExpire = ld.expires
+		sr.peerSum.flows += ld.flows
+		sr.peerSum.held += ld.held
+		if ld.expires.Before(sr.peerSum.expires) {
+			sr.peerSum.expires = ld.expires
 		}
 	}
 }
@@ -250,6 +262,7 @@
 	Flows    int             // active flows plus the weight of unanswered requests
 	Held     int             // all flows, idle ones included
 	Requests float64         // mean number of requests without a response since the last report
+	Begun    int             // requests begun since the last report
 	Speed    jpspeed.Summary // of its responses since the last report
 }
 
@@ -260,9 +273,9 @@
 	for _, sr := range ds.servers {
 		ld := Load{
 			Tag: sr.tag, Flows: sr.localLoad(ds.lastTick), Held: sr.trackedFlows,
-			Requests: sr.takeMeanRequests(ds.requestSamples),
+			Requests: sr.takeMeanRequests(ds.requestSamples), Begun: sr.takeBegun(),
 		}
-		if sr.present && (ld.Flows > 0 || ld.Held > 0 || ld.Requests > 0) {
+		if sr.present && ld != (Load{Tag: sr.tag}) {
 			list = append(list, ld)
 		}
 	}
@@ -275,7 +288,8 @@
 func (ds *Dispatcher) HandleLoads(now time.Time, peer string, loads []Load) {
 	for _, ld := range loads {
 		if sr := ds.serversByTag[ld.Tag]; sr != nil {
-			sr.setPeerLoad(now, peer, ld.Flows)
+			sr.setPeerLoad(now, peer, ld)
+			sr.recent.Add(now, ld.Begun)
 		}
 	}
 	ds.reportRequests(now, peer, loads)
--- a/core/jpdispatch/tick.go
+++ b/core/jpdispatch/tick.go
@@ -31,7 +31,7 @@
 // It must be called ten times a second.
 func (ds *Dispatcher) Tick(now time.Time) []ResetPacket {
 	ds.lastTick = now
-	ds.sampleRequests()
+	ds.sampleRequests(now)
 	ds.adjustSpills(now)
 	if !now.Before(ds.nextExpiry) {
 		ds.nextExpiry = now.Add(expiryInterval)
--- a/io/jppeer/directory.go
+++ b/io/jppeer/directory.go
@@ -56,6 +56,7 @@
 	Flows        uint32
 	Held         uint32
 	Requests     uint32 // hundredths
+	Begun        uint32
 	Slowness     uint32 // hundredths
 	SpeedSamples uint32
 }
@@ -146,7 +147,7 @@
 	}
 	for _, ld := range ds.Loads {
 		wire.Loads = append(wire.Loads, wireServerLoad{
-			Tag: ld.Tag, Flows: uint32(ld.Flows), Held: uint32(ld.Held), Requests: toHundredths(ld.Requests),
+			Tag: ld.Tag, Flows: uint32(ld.Flows), Held: uint32(ld.Held), Requests: toHundredths(ld.Requests), Begun: uint32(ld.Begun),
 			Slowness: toHundredths(ld.Speed.Slowness), SpeedSamples: uint32(ld.Speed.Samples),
 		})
 	}
@@ -163,7 +164,7 @@
 	}
 	for _, wl := range wire.Loads {
 		ds.Loads = append(ds.Loads, jpdispatch.Load{
-			Tag: wl.Tag, Flows: int(wl.Flows), Held: int(wl.Held), Requests: fromHundredths(wl.Requests),
+			Tag: wl.Tag, Flows: int(wl.Flows), Held: int(wl.Held), Requests: fromHundredths(wl.Requests), Begun: int(wl.Begun),
 			Speed: jpspeed.Summary{Slowness: fromHundredths(wl.Slowness), Samples: int(wl.SpeedSamples)},
 		})
 	}
