jpdispatch: limit on flows counts those of all instances, idle ones included

Cause: MaxFlows was compared with the active flows of one instance. Change: a server whose flows, own and as peers report them, reach MaxFlows gets no new flow while another can take it; peers not heard are taken to be like the others, a figure above the limit counts for nothing. An estimate refuses no flow: that is left to the instance's own flows.

--- a/core/jpcapacity/estimator.go
+++ b/core/jpcapacity/estimator.go
@@ -77,13 +77,18 @@
 	slices.Sort(et.sorted)
 }
 
-// Estimate returns the estimate for the servers that an instance uses. Instances that
-// are not heard are taken to be like the average of those that are.
-func (et *Estimator) Estimate(now time.Time, use Use) Estimate {
+// Heard returns the number of peers whose reports count.
+func (et *Estimator) Heard(now time.Time) int {
 	if !et.oldest.IsZero() && now.Sub(et.oldest) >= reportTTL {
 		et.update(now)
 	}
-	seen := 1 + len(et.sorted)
+	return len(et.sorted)
+}
+
+// Estimate returns the estimate for the servers that an instance uses. Instances that
+// are not heard are taken to be like the average of those that are.
+func (et *Estimator) Estimate(now time.Time, use Use) Estimate {
+	seen := 1 + et.Heard(now)
 	instances := max(use.Instances, seen)
 	es := Estimate{
 		Slots: use.Slots, Own: float64(use.Requests),
--- a/core/jpdispatch/place.go
+++ b/core/jpdispatch/place.go
@@ -164,17 +164,22 @@
 }
 
 // sampling compares three servers for each flow. Instances see each other's flows late:
-// if each took the least loaded server of all, many would take the same one. So few
-// servers that sampling would save little are all read.
+// if each took the least loaded server of all, many would take the same one.
 var sampling = jpplacement.Policy{Samples: 3}
 
-const maxRead = 6 // servers
+// maxReadAlone is the number of servers that the only instance of a data centre, which
+// knows all their flows, reads for each of its flows.
+const maxReadAlone = 6
 
 // sampleServer selects the server for a new flow among some of this data centre's available
 // ones, by their active flows and recent requests per slot. It returns nil if there are
 // few or none of those compared can take the flow.
 func (ds *Dispatcher) sampleServer(now time.Time, sc *service, pk Packet, fl *flow) (*server, int) {
 	pl := ds.poolOf(now, sc)
+	maxRead := sampling.Samples
+	if ds.position.LocalCount == 1 {
+		maxRead = maxReadAlone
+	}
 	if pl.remote || len(pl.servers) <= maxRead {
 		return nil, 0
 	}
@@ -263,9 +268,20 @@
 	return !sr.cfg.Draining && !now.Before(sr.heldUntil) && !ds.dataCentresOut[sr.cfg.DataCentre] && sr.activeFlows < sc.cfg.MaxFlows
 }
 
-// available reports whether a server is warm and not suspected.
+// available reports whether a server is warm, not suspected and below its limit on flows.
 func (ds *Dispatcher) available(now time.Time, sc *service, sr *server) bool {
-	return !sr.cold(now, sc) && !ds.suspected(now, sr)
+	return !sr.cold(now, sc) && !ds.suspected(now, sr) && ds.heldFlows(now, sc, sr) < sc.cfg.MaxFlows
+}
+
+// heldFlows estimates the flows of all instances of the data centre at a server, idle ones
+// included. It decides only which server is preferred, so that no flow is refused because
+// of an estimate.
+func (ds *Dispatcher) heldFlows(now time.Time, sc *service, sr *server) int {
+	held, heard := sr.peers(now).held, sc.pool.estimator.Heard(now)
+	if unheard := ds.position.LocalCount - 1 - heard; heard > 0 && unheard > 0 {
+		held += held * unheard / heard
+	}
+	return sr.trackedFlows + held
 }
 
 func (ds *Dispatcher) suspected(now time.Time, sr *server) bool {
--- a/core/jpdispatch/server.go
+++ b/core/jpdispatch/server.go
@@ -288,6 +288,9 @@
 func (ds *Dispatcher) HandleLoads(now time.Time, peer string, loads []Load) {
 	for _, ld := range loads {
 		if sr := ds.serversByTag[ld.Tag]; sr != nil {
+			if sc := ds.services[sr.cfg.Service]; sc != nil && ld.Held > sc.cfg.MaxFlows {
+				ld.Held = 0 // the server would not hold them
+			}
 			sr.setPeerLoad(now, peer, ld)
 			sr.recent.Add(now, ld.Begun)
 		}
