--- a/core/jpdispatch/place.go
+++ b/core/jpdispatch/place.go
@@ -206,8 +206,9 @@
 	if !sm.ds.eligible(sm.now, sm.service, sr) || !sm.ds.available(sm.now, sm.service, sr) || sm.flow != nil && sm.flow.hasTried(sr.tag) {
 		return 0, false
 	}
-	slots, flows := sm.ds.concurrency(sm.now, sr), float64(sr.load(sm.now))
-	return (flows + float64(sr.begun) + sr.recent.Value(sm.now)) / slots, flows/slots < remotePenalty
+	score := sm.ds.placingScore(sm.now, sr)
+	requests := float64(sr.begun) + sr.recent.Value(sm.now)
+	return score + requests/sm.ds.concurrency(sm.now, sr), score < remotePenalty
 }
 
 // placeUntracked places a flow for which the flow table has no room. It selects
@@ -249,7 +250,7 @@
 			continue
 		}
 		choices++
-		score := float64(sr.load(now)) / ds.concurrency(now, sr)
+		score := ds.placingScore(now, sr)
 		if ix >= sc.local {
 			score += remotePenalty
 		}
--- a/core/jpdispatch/server.go
+++ b/core/jpdispatch/server.go
@@ -122,12 +122,15 @@
 	inconclusive    bool        // the latest check was inconclusive and the server was not seen alive since
 	nextCheckAt     time.Time
 	coldSince       time.Time // when it was last treated as newly cold
+	speed           jpspeed.Estimate
+	loggedSlowness  float64   // as last reported by SpeedChanges, 0 if never
 	nextColdAt      time.Time // earliest next flow from this instance while it is cold
 }
 
 // peerLoad is what a peer reported of a server.
 type peerLoad struct {
 	flows, held int // as in Load
+	requests    float64
 	expires     time.Time
 }
 
@@ -219,12 +222,13 @@
 // setPeerLoad sets the load that a peer reported.
 func (sr *server) setPeerLoad(now time.Time, peer string, load Load) {
 	previous := sr.peerLoads[peer]
-	ld := peerLoad{flows: load.Flows, held: load.Held, expires: now.Add(peerLoadTTL)}
+	ld := peerLoad{flows: load.Flows, held: load.Held, requests: load.Requests, expires: now.Add(peerLoadTTL)}
 	if len(sr.peerLoads) == 0 {
 		sr.peerSum.expires = ld.expires
 	}
 	sr.peerSum.flows += ld.flows - previous.flows
 	sr.peerSum.held += ld.held - previous.held
+	sr.peerSum.requests += ld.requests - previous.requests
 	sr.peerLoads[peer] = ld
 }
 
@@ -238,6 +242,7 @@
 		}
 		sr.peerSum.flows += ld.flows
 		sr.peerSum.held += ld.held
+		sr.peerSum.requests += ld.requests
 		if ld.expires.Before(sr.peerSum.expires) {
 			sr.peerSum.expires = ld.expires
 		}
@@ -267,13 +272,14 @@
 }
 
 // Loads returns the loads that this instance reports to its peers, in order of
-// the tags.
+// the tags. Observations are returned once.
 func (ds *Dispatcher) Loads() []Load {
 	var list []Load
 	for _, sr := range ds.servers {
 		ld := Load{
 			Tag: sr.tag, Flows: sr.localLoad(ds.lastTick), Held: sr.trackedFlows,
 			Requests: sr.takeMeanRequests(ds.requestSamples), Begun: sr.takeBegun(),
+			Speed: sr.speed.TakeSummary(),
 		}
 		if sr.present && ld != (Load{Tag: sr.tag}) {
 			list = append(list, ld)
@@ -293,6 +299,7 @@
 			}
 			sr.setPeerLoad(now, peer, ld)
 			sr.recent.Add(now, ld.Begun)
+			sr.speed.AddReport(now, peer, ld.Speed)
 		}
 	}
 	ds.reportRequests(now, peer, loads)
--- a/core/jpdispatch/wait.go
+++ b/core/jpdispatch/wait.go
@@ -12,10 +12,6 @@
 	// what remains is for the handshake.
 	maxWait = 1200 * time.Millisecond
 
-	// minWait is how long a new flow may wait whose latency target is shorter. A caller
-	// that is refused sooner has no attempts left when a short burst is over.
-	minWait = 200 * time.Millisecond
-
 	// maxWaiting bounds the flows that wait for one service. With the packets that
 	// the instance keeps they take 0.5 MB.
 	maxWaiting = 1024
@@ -153,7 +149,14 @@
 		limited = !es.Guess
 		for limited && ds.releaseOne(now, gt, func(wt *waiter, assured bool) bool {
 			rt := ds.routes[wt.packet.Route]
-			return rt == nil || rt.TargetLatency <= 0 || es.Room(gt.perSlot(sc, rt, assured)) > 0
+			if rt == nil || rt.TargetLatency <= 0 {
+				return true
+			}
+			limit := gt.perSlot(sc, rt, now.After(wt.item.Deadline))
+			if assured {
+				limit = gt.assuredPerSlot(sc, rt)
+			}
+			return es.Room(limit) > 0
 		}) {
 			es.Own++
 			es.Requests++
@@ -179,7 +182,9 @@
 	delete(waiters, it.Key)
 	pk := wt.packet
 	pk.released = true
-	ds.end(now, wt, ds.handleSYN(now, pk))
+	dc := ds.handleSYN(now, pk)
+	dc.SpilledFrom = ds.spilledFrom(pk, dc)
+	ds.end(now, wt, dc)
 	return true
 }
 
