--- a/core/jpdispatch/capacity.go
+++ b/core/jpdispatch/capacity.go
@@ -1,6 +1,8 @@
 package jpdispatch
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"jacinthpass/core/jpcapacity"
@@ -25,6 +27,7 @@
 	reported  float64   // of the peer whose loads are being read
 	refreshAt time.Time // when servers has to be collected again
 	estimator jpcapacity.Estimator
+	level     jpcapacity.Level
 }
 
 // Fullness estimates how full a service is, for logs and metrics. It returns false if the
@@ -37,6 +40,27 @@
 	return ds.fullness(now, sc), true
 }
 
+// ServiceFullness is the fullness of a service, for logs and metrics.
+type ServiceFullness struct {
+	Service  string
+	Estimate jpcapacity.Estimate
+	Full     bool
+	Changed  bool // Full has changed since the last call of Services
+}
+
+// Services returns the fullness of all services of the manifest, in order of their names.
+func (ds *Dispatcher) Services(now time.Time) []ServiceFullness {
+	list := make([]ServiceFullness, 0, len(ds.services))
+	for name, sc := range ds.services {
+		sf := ServiceFullness{Service: name, Estimate: ds.fullness(now, sc)}
+		sf.Changed = sc.pool.level.Update(now, sf.Estimate)
+		sf.Full = sc.pool.level.Full()
+		list = append(list, sf)
+	}
+	slices.SortFunc(list, func(a, b ServiceFullness) int { return cmp.Compare(a.Service, b.Service) })
+	return list
+}
+
 // fullness estimates how full the servers of a service are to which this instance may
 // give new flows.
 func (ds *Dispatcher) fullness(now time.Time, sc *service) jpcapacity.Estimate {
--- a/io/jpentry/control.go
+++ b/io/jpentry/control.go
@@ -62,6 +62,7 @@
 	checks := en.dispatcher.DueChecks(now)
 	changes := en.dispatcher.FailingChanges(now)
 	speeds := en.dispatcher.SpeedChanges(now)
+	services := en.dispatcher.Services(now)
 	revision, age := en.directory.Revision(), now.Sub(en.directory.CurrentAt())
 	if !now.Before(en.nextStats) {
 		en.nextStats = now.Add(statsInterval)
@@ -74,6 +75,8 @@
 		en.logReset(now, rs, "", revision, age)
 		en.sendReset(rs)
 	}
+	en.metrics.services.Store(&services)
+	logServices(now, services)
 	for _, fc := range changes {
 		klog.InfoS("dispatch: server", "server", fc.Server, "failing", fc.Failing, "stuck", fc.Stuck, "given_up", fc.GivenUp)
 	}
--- a/io/jpentry/log.go
+++ b/io/jpentry/log.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"k8s.io/klog/v2"
+
+	"jacinthpass/core/jpdispatch"
 )
 
 // lineLimiter limits the log lines about packets in each second. It is safe for
@@ -104,3 +106,13 @@
 	case <-time.After(closeTimeout):
 	}
 }
+
+// logServices logs which services have become full or have room again.
+func logServices(now time.Time, services []jpdispatch.ServiceFullness) {
+	for _, sf := range services {
+		if es := sf.Estimate; sf.Changed {
+			klog.InfoS("capacity: service", "service", sf.Service, "full", sf.Full, "slots", es.Slots, "requests", es.Requests,
+				"own", es.Own, "instances", es.Instances, "seen", es.Seen, "age_ms", now.Sub(es.OldestAt).Milliseconds())
+		}
+	}
+}
--- a/io/jpentry/metrics.go
+++ b/io/jpentry/metrics.go
@@ -45,6 +45,7 @@
 	failingServers  atomic.Int64
 	slowServers     atomic.Int64
 	revision        atomic.Uint64
+	services        atomic.Pointer[[]jpdispatch.ServiceFullness]
 	decisionTimes   histogram
 }
 
@@ -184,6 +185,22 @@
 	scope.Gauge("failing_servers").Update(float64(mt.failingServers.Load()))
 	scope.Gauge("slow_servers").Update(float64(mt.slowServers.Load()))
 	scope.Gauge("directory_revision").Update(float64(mt.revision.Load()))
+	mt.flushServices(scope)
+}
+
+// flushServices reports how full each service is.
+func (mt *metrics) flushServices(scope tally.Scope) {
+	services := mt.services.Load()
+	if services == nil {
+		return
+	}
+	for _, sf := range *services {
+		tagged := scope.Tagged(map[string]string{"service": sf.Service})
+		tagged.Gauge("service_slots").Update(sf.Estimate.Slots)
+		tagged.Gauge("service_requests").Update(sf.Estimate.Requests)
+		tagged.Gauge("service_fill").Update(sf.Estimate.Fill())
+		tagged.Gauge("service_instances_seen").Update(sf.Estimate.Seen)
+	}
 }
 
 // serveMetrics serves the metrics and the timeline until ctx ends.
