jpplacement: different servers are drawn; recent requests are counted in flows

Cause: recent requests outweighed unanswered requests and the lead of slow servers, which are in flows; with few servers the same one was drawn more than once; flows that had ended counted as held for 2 s, so that servers with low limits looked full. Change: the servers of a pool have as many recent requests as flows on average, two thirds of the load are taken from them; Held leaves out closing and reset flows. Play of load: a server got a late copy of an answered request and ran the next one, or none (nil); it now takes new data only. The simulation also compares the held flows and the requests of each server with the flow table.

--- a/core/jpdispatch/capacity.go
+++ b/core/jpdispatch/capacity.go
@@ -25,6 +25,7 @@
 	slots     float64
 	requests  int       // of this instance at these servers, without a response yet
 	reported  float64   // of the peer whose loads are being read
+	perRecent float64   // flows for each recent request, see sample.Load
 	refreshAt time.Time // when servers has to be collected again
 	estimator jpcapacity.Estimator
 	level     jpcapacity.Level
@@ -85,6 +86,7 @@
 		}
 	}
 	pl.servers, pl.slots, pl.requests = pl.servers[:0], 0, 0
+	flows, recent := 0, 0.0
 	for ix, sr := range sc.servers {
 		if ix == sc.local && len(pl.servers) > 0 {
 			break
@@ -97,7 +99,10 @@
 		pl.slots += ds.concurrency(now, sr)
 		pl.requests += sr.requests
 		sr.pool = pl
+		flows += sr.load(now)
+		recent += sr.recent.Value(now)
 	}
+	pl.perRecent = float64(flows) / max(recent, 1)
 	return pl
 }
 
--- a/core/jpdispatch/flow.go
+++ b/core/jpdispatch/flow.go
@@ -41,6 +41,7 @@
 	state          flowState
 	active         bool                    // counts as load of the server
 	requesting     bool                    // counts in server.requests
+	held           bool                    // counts in server.heldFlows
 	synSequence    uint32                  // sequence number of the SYN
 	sequence       uint32                  // highest sequence number of the caller, once open
 	lastAck        uint32                  // latest acknowledgement of the caller
@@ -100,18 +101,31 @@
 	fl.release()
 	fl.server = sr
 	sr.trackedFlows++
+	if fl.state == opening || fl.state == open {
+		fl.held = true
+		sr.heldFlows++
+	}
 }
 
 // release removes the flow from its server and from the server's counts.
 func (fl *flow) release() {
 	fl.deactivate()
 	fl.clearWaiting()
+	fl.endHeld()
 	if fl.server != nil {
 		fl.server.trackedFlows--
 		fl.server = nil
 	}
 }
 
+// endHeld records that the server does not hold the flow any more.
+func (fl *flow) endHeld() {
+	if fl.held {
+		fl.held = false
+		fl.server.heldFlows--
+	}
+}
+
 // followRestart moves a flow that may have begun after its server's restart to
 // the restarted server. It follows several restarts in a row.
 func (fl *flow) followRestart() {
--- a/core/jpdispatch/handle.go
+++ b/core/jpdispatch/handle.go
@@ -213,6 +213,7 @@
 	fl.lastSeenAt = now
 	if pk.Flags&FIN != 0 && fl.state != closing {
 		fl.state = closing
+		fl.endHeld()
 		ds.noteGivenUp(now, fl)
 	}
 	if fl.state == closing {
@@ -242,6 +243,7 @@
 func (ds *Dispatcher) resetFlow(now time.Time, fl *flow, pk Packet, reason Reason) Decision {
 	fl.deactivate()
 	fl.state = resetSent
+	fl.endHeld()
 	rs := resetOf(pk, reason)
 	rs.Server = fl.server.cfg.ID
 	rs.Evidence = ds.evidence(fl)
--- a/core/jpdispatch/loadcaller_test.go
+++ b/core/jpdispatch/loadcaller_test.go
@@ -35,14 +35,14 @@
 
 // playFlow is a flow of a caller.
 type playFlow struct {
-	syn       Packet
-	in        *playInstance
-	server    *playServer // that opened it
-	request   *playRequest
-	requestNo string // latest that its server got
-	sent      uint32
-	answered  uint32
-	ended     bool
+	syn      Packet
+	in       *playInstance
+	server   *playServer // that opened it
+	request  *playRequest
+	received uint32 // sequence number of the latest request that its server got
+	sent     uint32
+	answered uint32
+	ended    bool
 }
 
 // startSessions starts callers at a kind's rate.
@@ -96,7 +96,7 @@
 	caller := netip.AddrPortFrom(rq.caller, uint16(1024+pl.flows%60_000))
 	local := pl.centres[rq.centre]
 	syn := Packet{Caller: caller, Route: rq.kind.Address, Flags: SYN, Sequence: uint32(pl.flows) * 2654435769}
-	fl := &playFlow{syn: syn, in: local[flowHash(syn, 0)%uint64(len(local))], request: rq, answered: 1000}
+	fl := &playFlow{syn: syn, in: local[flowHash(syn, 0)%uint64(len(local))], request: rq, received: syn.Sequence, answered: 1000}
 	rq.flow = fl
 	for no, delay := range []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond} {
 		pl.after(delay, func() {
--- a/core/jpdispatch/loadplay_test.go
+++ b/core/jpdispatch/loadplay_test.go
@@ -317,8 +317,8 @@
 		pl.result.strays++
 	case pk.Flags&FIN != 0:
 		delete(sr.flows, fl)
-	case pk.Length > 0 && fl.requestNo != pk.Request:
-		fl.requestNo = pk.Request
+	case pk.Length > 0 && int32(pk.Sequence-fl.received) > 0: // not a late copy
+		fl.received = pk.Sequence
 		pl.serve(sr, fl, fl.request)
 	}
 }
--- a/core/jpdispatch/place.go
+++ b/core/jpdispatch/place.go
@@ -183,32 +183,40 @@
 	if pl.remote || len(pl.servers) <= maxRead {
 		return nil, 0
 	}
-	ix, ok := jpplacement.Select(sampling, sample{ds, now, sc, fl, pl.servers}, flowHash(pk, 0))
+	ix, ok := jpplacement.Select(sampling, sample{ds, now, sc, fl, pl}, flowHash(pk, 0))
 	if !ok {
 		return nil, 0
 	}
 	return pl.servers[ix], len(pl.servers)
 }
 
+// recentShare is the part of a load that is taken from recent requests: the greater one,
+// because the callers of some flows send much more than those of others.
+const recentShare = 2. / 3
+
 // sample makes the servers of a pool the candidates for a flow, which may be nil.
 type sample struct {
 	ds      *Dispatcher
 	now     time.Time
 	service *service
 	flow    *flow
-	servers []*server
+	pool    *pool
 }
 
-func (sm sample) Len() int { return len(sm.servers) }
+func (sm sample) Len() int { return len(sm.pool.servers) }
 
+// Load returns what placingScore does, with a part of the flows replaced by the recent
+// requests, each counted as the number of flows that the servers of the pool have for
+// one.
 func (sm sample) Load(ix int) (float64, bool) {
-	sr := sm.servers[ix]
+	sr := sm.pool.servers[ix]
 	if !sm.ds.eligible(sm.now, sm.service, sr) || !sm.ds.available(sm.now, sm.service, sr) || sm.flow != nil && sm.flow.hasTried(sr.tag) {
 		return 0, false
 	}
 	score := sm.ds.placingScore(sm.now, sr)
-	requests := float64(sr.begun) + sr.recent.Value(sm.now)
-	return score + requests/sm.ds.concurrency(sm.now, sr), score < remotePenalty
+	flows := sr.activeFlows + sr.peers(sm.now).flows
+	recent := sm.pool.perRecent*(float64(sr.begun)+sr.recent.Value(sm.now)) - float64(flows)
+	return score + recentShare*recent/sm.ds.concurrency(sm.now, sr), score < remotePenalty
 }
 
 // placeUntracked places a flow for which the flow table has no room. It selects
@@ -282,7 +290,7 @@
 	if unheard := ds.position.LocalCount - 1 - heard; heard > 0 && unheard > 0 {
 		held += held * unheard / heard
 	}
-	return sr.trackedFlows + held
+	return sr.heldFlows + held
 }
 
 func (ds *Dispatcher) suspected(now time.Time, sr *server) bool {
--- a/core/jpdispatch/place_test.go
+++ b/core/jpdispatch/place_test.go
@@ -24,7 +24,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			hn := newHarness(t, deskServer(1, localDC), deskServer(2, localDC))
 			hn.SetPosition(Position{Count: 4, LocalCount: 4})
-			hn.servers["i-1"].trackedFlows += tc.idle
+			hn.servers["i-1"].heldFlows += tc.idle
 			for peer, held := range tc.held {
 				hn.HandleLoads(at(0), fmt.Sprint(peer), []Load{{Tag: 1, Held: held}, {Tag: 2, Flows: 50, Held: 50}})
 			}
--- a/core/jpdispatch/server.go
+++ b/core/jpdispatch/server.go
@@ -107,6 +107,7 @@
 	recent           jpplacement.Recent // requests of this instance and its peers
 	pool             *pool              // that counts requests, nil if none does
 	trackedFlows     int                // flow table entries of this instance
+	heldFlows        int                // of these, those that have not ended
 	peerLoads        map[string]peerLoad
 	peerSum          peerLoad // sum of peerLoads; expires is at most their first expiry
 
@@ -277,7 +278,7 @@
 	var list []Load
 	for _, sr := range ds.servers {
 		ld := Load{
-			Tag: sr.tag, Flows: sr.localLoad(ds.lastTick), Held: sr.trackedFlows,
+			Tag: sr.tag, Flows: sr.localLoad(ds.lastTick), Held: sr.heldFlows,
 			Requests: sr.takeMeanRequests(ds.requestSamples), Begun: sr.takeBegun(),
 			Speed: sr.speed.TakeSummary(),
 		}
--- a/core/jpdispatch/simverify_test.go
+++ b/core/jpdispatch/simverify_test.go
@@ -30,7 +30,7 @@
 // verifyCounts compares the counts that an instance keeps for each server with its
 // flow table.
 func (sm *simulation) verifyCounts(in *simInstance) {
-	type counts struct{ flows, entries, stuck int }
+	type counts struct{ flows, entries, held, requests, stuck int }
 	want := map[*server]counts{}
 	in.Dispatcher.flows.Sweep(1<<20, func(_ FlowKey, fl *flow) bool {
 		if fl.server != nil {
@@ -39,6 +39,12 @@
 			if fl.active {
 				ct.flows++
 			}
+			if fl.state == opening || fl.state == open {
+				ct.held++
+			}
+			if fl.requesting {
+				ct.requests++
+			}
 			if fl.stuck {
 				ct.stuck++
 			}
@@ -47,7 +53,7 @@
 		return true
 	})
 	for _, sr := range in.Dispatcher.servers {
-		if got := (counts{sr.activeFlows, sr.trackedFlows, sr.stuckFlows}); got != want[sr] {
+		if got := (counts{sr.activeFlows, sr.trackedFlows, sr.heldFlows, sr.requests, sr.stuckFlows}); got != want[sr] {
 			sm.tb.Errorf("%v: counts of %s are %+v, want %+v by the flow table", sm.now.Sub(at(0)), sr.cfg.ID, got, want[sr])
 		}
 	}
--- a/core/jpdispatch/tick.go
+++ b/core/jpdispatch/tick.go
@@ -113,6 +113,7 @@
 	}
 	fl.deactivate()
 	fl.state = resetSent
+	fl.endHeld()
 	fl.lastSeenAt = now
 	return rs, true
 }
--- a/core/jpplacement/place.go
+++ b/core/jpplacement/place.go
@@ -5,6 +5,7 @@
 import (
 	"math"
 	"math/bits"
+	"slices"
 	"time"
 )
 
@@ -17,9 +18,12 @@
 	Load(ix int) (float64, bool)
 }
 
+// MaxSamples bounds Policy.Samples.
+const MaxSamples = 8
+
 // Policy says how many candidates are compared for each flow.
 type Policy struct {
-	Samples int // drawn by a hash of the flow; 0 for all candidates
+	Samples int // different ones, drawn by a hash of the flow; 0 for all candidates
 }
 
 // Select returns the index of the least loaded of the compared candidates, or false if
@@ -27,24 +31,37 @@
 // flow's hash draws the same candidates each time.
 func Select[C Candidates](pc Policy, cs C, hash uint64) (int, bool) {
 	count := cs.Len()
-	compared := count
-	if pc.Samples > 0 {
-		compared = min(pc.Samples, count)
+	samples := min(pc.Samples, MaxSamples)
+	all := samples <= 0 || samples >= count
+	if all {
+		samples = count
 	}
+	var drawn [MaxSamples]int
 	best, lowest := -1, math.Inf(1)
-	for no := range compared {
-		hash = mix(hash)
-		ix, _ := bits.Mul64(hash, uint64(count))
-		if pc.Samples == 0 {
-			ix = uint64(no)
+	for no := range samples {
+		ix := no
+		if !all {
+			hash = mix(hash)
+			ix = draw(hash, count, drawn[:no])
+			drawn[no] = ix
 		}
-		if load, ok := cs.Load(int(ix)); ok && (load < lowest || best < 0) {
-			best, lowest = int(ix), load
+		if load, ok := cs.Load(ix); ok && (load < lowest || best < 0) {
+			best, lowest = ix, load
 		}
 	}
 	return best, best >= 0
 }
 
+// draw returns an index below count that has not been drawn.
+func draw(hash uint64, count int, drawn []int) int {
+	high, _ := bits.Mul64(hash, uint64(count))
+	ix := int(high)
+	for slices.Contains(drawn, ix) {
+		ix = (ix + 1) % count
+	}
+	return ix
+}
+
 // mix returns the next value of the sequence SplitMix64.
 func mix(value uint64) uint64 {
 	value += 0x9e3779b97f4a7c15
