--- a/core/jpdispatch/capacity.go
+++ b/core/jpdispatch/capacity.go
@@ -1,6 +1,8 @@
 package jpdispatch
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"jacinthpass/core/jpcapacity"
@@ -23,8 +25,10 @@
 	slots     float64
 	requests  int       // of this instance at these servers, without a response yet
 	reported  float64   // of the peer whose loads are being read
+	perRecent float64   // flows for each recent request, see sample.Load
 	refreshAt time.Time // when servers has to be collected again
 	estimator jpcapacity.Estimator
+	level     jpcapacity.Level
 }
 
 // Fullness estimates how full a service is, for logs and metrics. It returns false if the
@@ -37,6 +41,27 @@
 	return ds.fullness(now, sc), true
 }
 
+// ServiceFullness is the fullness of a service, for logs and metrics.
+type ServiceFullness struct {
+	Service  string
+	Estimate jpcapacity.Estimate
+	Full     bool
+	Changed  bool // Full has changed since the last call of Services
+}
+
+// Services returns the fullness of all services of the manifest, in order of their names.
+func (ds *Dispatcher) Services(now time.Time) []ServiceFullness {
+	list := make([]ServiceFullness, 0, len(ds.services))
+	for name, sc := range ds.services {
+		sf := ServiceFullness{Service: name, Estimate: ds.fullness(now, sc)}
+		sf.Changed = sc.pool.level.Update(now, sf.Estimate)
+		sf.Full = sc.pool.level.Full()
+		list = append(list, sf)
+	}
+	slices.SortFunc(list, func(a, b ServiceFullness) int { return cmp.Compare(a.Service, b.Service) })
+	return list
+}
+
 // fullness estimates how full the servers of a service are to which this instance may
 // give new flows.
 func (ds *Dispatcher) fullness(now time.Time, sc *service) jpcapacity.Estimate {
@@ -61,6 +86,7 @@
 		}
 	}
 	pl.servers, pl.slots, pl.requests = pl.servers[:0], 0, 0
+	flows, recent := 0, 0.0
 	for ix, sr := range sc.servers {
 		if ix == sc.local && len(pl.servers) > 0 {
 			break
@@ -73,7 +99,10 @@
 		pl.slots += ds.concurrency(now, sr)
 		pl.requests += sr.requests
 		sr.pool = pl
+		flows += sr.load(now)
+		recent += sr.recent.Value(now)
 	}
+	pl.perRecent = float64(flows) / max(recent, 1)
 	return pl
 }
 
@@ -87,15 +116,28 @@
 
 // sampleRequests adds the current numbers of requests to what the next report of this
 // instance averages.
-func (ds *Dispatcher) sampleRequests() {
+func (ds *Dispatcher) sampleRequests(now time.Time) {
 	ds.requestSamples++
 	for _, sc := range ds.services {
 		for _, sr := range sc.servers {
 			sr.requestSum += sr.requests
+			if sr.begun > 0 {
+				sr.recent.Add(now, sr.begun)
+				sr.begunSum += sr.begun
+				sr.begun = 0
+			}
 		}
 	}
 }
 
+// takeBegun returns the number of requests that were begun at a server since the last call,
+// up to the latest sample.
+func (sr *server) takeBegun() int {
+	begun := sr.begunSum
+	sr.begunSum = 0
+	return begun
+}
+
 // takeMeanRequests returns the mean number of requests at a server since the last call,
 // from the samples of sampleRequests.
 func (sr *server) takeMeanRequests(samples int) float64 {
--- a/core/jpdispatch/handle.go
+++ b/core/jpdispatch/handle.go
@@ -215,6 +215,7 @@
 	if pk.Flags&FIN != 0 && fl.state != closing {
 		fl.state = closing
 		ds.noteGivenUpSpeed(now, fl, pk)
+		fl.endHeld()
 		ds.noteGivenUp(now, fl)
 	}
 	if fl.state == closing {
@@ -244,6 +245,7 @@
 func (ds *Dispatcher) resetFlow(now time.Time, fl *flow, pk Packet, reason Reason) Decision {
 	fl.deactivate()
 	fl.state = resetSent
+	fl.endHeld()
 	rs := resetOf(pk, reason)
 	rs.Server = fl.server.cfg.ID
 	rs.Evidence = ds.evidence(fl)
--- a/core/jpdispatch/server.go
+++ b/core/jpdispatch/server.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"jacinthpass/core/jpdirectory"
+	"jacinthpass/core/jpplacement"
 	"jacinthpass/core/jpspeed"
 )
 
@@ -89,24 +90,26 @@
 	present          bool
 	local            bool // in this instance's data centre; set for the servers of services
 	arrivedAt        time.Time
-	answeredAt       time.Time // latest answer that a caller's packet has shown
-	contested        bool      // another present server names its address, and neither is replaced
-	replaced         bool      // another server has accepted a flow at its address
-	heldUntil        time.Time // no new flows before, see contradictionHold
-	successor        *server   // the process that its entry describes after it, at the same address
-	endedAt          time.Time // if there is a successor: flows first seen before this time stay
-	leftAt           time.Time // when this instance learned that it left the directory
-	lastListedAt     time.Time // latest time at which the directory was known to contain it; set when it leaves
-	dataCentreBackAt time.Time // when its data centre came back into service
-	activeFlows      int       // flows of this instance that count as load
-	requests         int       // flows of this instance with a request that has no response yet
-	requestSum       int       // of requests, over the samples since the last report
-	pool             *pool     // that counts requests, nil if none does
-	trackedFlows     int       // flow table entries of this instance
+	answeredAt       time.Time          // latest answer that a caller's packet has shown
+	contested        bool               // another present server names its address, and neither is replaced
+	replaced         bool               // another server has accepted a flow at its address
+	heldUntil        time.Time          // no new flows before, see contradictionHold
+	successor        *server            // the process that its entry describes after it, at the same address
+	endedAt          time.Time          // if there is a successor: flows first seen before this time stay
+	leftAt           time.Time          // when this instance learned that it left the directory
+	lastListedAt     time.Time          // latest time at which the directory was known to contain it; set when it leaves
+	dataCentreBackAt time.Time          // when its data centre came back into service
+	activeFlows      int                // flows of this instance that count as load
+	requests         int                // flows of this instance with a request that has no response yet
+	requestSum       int                // of requests, over the samples since the last report
+	begun            int                // requests of this instance since the last sample, not in recent yet
+	begunSum         int                // requests of this instance since the last report, without begun
+	recent           jpplacement.Recent // requests of this instance and its peers
+	pool             *pool              // that counts requests, nil if none does
+	trackedFlows     int                // flow table entries of this instance
+	heldFlows        int                // of these, those that have not ended
 	peerLoads        map[string]peerLoad
-	peerFlows        int       // sum of peerLoads
-	peerRequestSum   float64   // sum of peerLoads
-	peerFlowsExpire  time.Time // at most the first expiry in peerLoads
+	peerSum          peerLoad // sum of peerLoads; expires is at most their first expiry
 
 	aliveAt         time.Time // latest evidence that it is alive
 	synAt           time.Time // first SYN since then, zero if none
@@ -125,10 +128,11 @@
 	nextColdAt      time.Time // earliest next flow from this instance while it is cold
 }
 
+// peerLoad is what a peer reported of a server.
 type peerLoad struct {
-	flows    int
-	requests float64
-	expires  time.Time
+	flows, held int // as in Load
+	requests    float64
+	expires     time.Time
 }
 
 func newServer(cfg jpdirectory.Server) *server {
@@ -205,47 +209,43 @@
 // load returns the load of the server in flows, as seen by this instance and
 // reported by its peers.
 func (sr *server) load(now time.Time) int {
-	sr.expirePeerLoads(now)
-	return sr.localLoad(now) + sr.peerFlows
+	return sr.localLoad(now) + sr.peers(now).flows
 }
 
-// peerRequests returns the number of requests without a response that peers reported.
-func (sr *server) peerRequests(now time.Time) float64 {
-	sr.expirePeerLoads(now)
-	return sr.peerRequestSum
+// peers returns the sum of the loads that peers reported.
+func (sr *server) peers(now time.Time) peerLoad {
+	if len(sr.peerLoads) > 0 && !now.Before(sr.peerSum.expires) {
+		sr.sumPeerLoads(now)
+	}
+	return sr.peerSum
 }
 
 // setPeerLoad sets the load that a peer reported.
-func (sr *server) setPeerLoad(now time.Time, peer string, flows int, requests float64) {
-	ld := peerLoad{flows: flows, requests: requests, expires: now.Add(peerLoadTTL)}
+func (sr *server) setPeerLoad(now time.Time, peer string, load Load) {
+	previous := sr.peerLoads[peer]
+	ld := peerLoad{flows: load.Flows, held: load.Held, requests: load.Requests, expires: now.Add(peerLoadTTL)}
 	if len(sr.peerLoads) == 0 {
-		sr.peerFlowsExpire = ld.expires
+		sr.peerSum.expires = ld.expires
 	}
-	previous := sr.peerLoads[peer]
-	sr.peerFlows += flows - previous.flows
-	sr.peerRequestSum += requests - previous.requests
+	sr.peerSum.flows += ld.flows - previous.flows
+	sr.peerSum.held += ld.held - previous.held
+	sr.peerSum.requests += ld.requests - previous.requests
 	sr.peerLoads[peer] = ld
 }
 
-// expirePeerLoads leaves out the loads of peers that are too old.
-func (sr *server) expirePeerLoads(now time.Time) {
-	if len(sr.peerLoads) > 0 && !now.Before(sr.peerFlowsExpire) {
-		sr.sumPeerLoads(now)
-	}
-}
-
 // sumPeerLoads removes the expired loads of peers and adds up the others.
 func (sr *server) sumPeerLoads(now time.Time) {
-	sr.peerFlows, sr.peerRequestSum, sr.peerFlowsExpire = 0, 0, now.Add(peerLoadTTL)
+	sr.peerSum = peerLoad{expires: now.Add(peerLoadTTL)}
 	for peer, ld := range sr.peerLoads {
 		if !now.Before(ld.expires) {
 			delete(sr.peerLoads, peer)
 			continue
 		}
-		sr.peerFlows += ld.flows
-		sr.peerRequestSum += ld.requests
-		if ld.expires.Before(sr.peerFlowsExpire) {
-			sr.peerFlowsExpire = ld.expires
+		sr.peerSum.flows += ld.flows
+		sr.peerSum.held += ld.held
+		sr.peerSum.requests += ld.requests
+		if ld.expires.Before(sr.peerSum.expires) {
+			sr.peerSum.expires = ld.expires
 		}
 	}
 }
@@ -268,6 +268,7 @@
 	Flows    int             // active flows plus the weight of unanswered requests
 	Held     int             // all flows, idle ones included
 	Requests float64         // mean number of requests without a response since the last report
+	Begun    int             // requests begun since the last report
 	Speed    jpspeed.Summary // of its responses since the last report
 }
 
@@ -277,10 +278,11 @@
 	var list []Load
 	for _, sr := range ds.servers {
 		ld := Load{
-			Tag: sr.tag, Flows: sr.localLoad(ds.lastTick), Held: sr.trackedFlows,
-			Requests: sr.takeMeanRequests(ds.requestSamples), Speed: sr.speed.TakeSummary(),
+			Tag: sr.tag, Flows: sr.localLoad(ds.lastTick), Held: sr.heldFlows,
+			Requests: sr.takeMeanRequests(ds.requestSamples), Begun: sr.takeBegun(),
+			Speed: sr.speed.TakeSummary(),
 		}
-		if sr.present && (ld.Flows > 0 || ld.Held > 0 || ld.Requests > 0 || ld.Speed.Samples > 0) {
+		if sr.present && ld != (Load{Tag: sr.tag}) {
 			list = append(list, ld)
 		}
 	}
@@ -293,7 +295,11 @@
 func (ds *Dispatcher) HandleLoads(now time.Time, peer string, loads []Load) {
 	for _, ld := range loads {
 		if sr := ds.serversByTag[ld.Tag]; sr != nil {
-			sr.setPeerLoad(now, peer, ld.Flows, ld.Requests)
+			if sc := ds.services[sr.cfg.Service]; sc != nil && ld.Held > sc.cfg.MaxFlows {
+				ld.Held = 0 // the server would not hold them
+			}
+			sr.setPeerLoad(now, peer, ld)
+			sr.recent.Add(now, ld.Begun)
 			sr.speed.AddReport(now, peer, ld.Speed)
 		}
 	}
--- a/core/jpdispatch/speed.go
+++ b/core/jpdispatch/speed.go
@@ -119,7 +119,7 @@
 // the server had more of them than slots. Instances that are not heard are taken to be like
 // the others.
 func (ds *Dispatcher) queueing(now time.Time, sr *server) float64 {
-	others := float64(max(sr.requests-1, 0)) + sr.peerRequests(now)
+	others := float64(max(sr.requests-1, 0)) + sr.peers(now).requests
 	if sc := ds.services[sr.cfg.Service]; sc != nil {
 		others *= max(sc.unheard, 1)
 	}
