Soak: routes with priorities and latency targets, a split, and more flows than slots

The soak's own manifest states targets, priorities and a 90 to 10 split; in the middle of the faults 60 callers send requests, each on a flow of its own, to servers that take 150 ms for an answer. New check: no server has received anything of a flow that an instance refused. The other checks are as strict: a request of the split may run at either of its services and at no other.

--- a/lab/jpplatform/caller.go
+++ b/lab/jpplatform/caller.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 )
@@ -29,7 +30,8 @@
 	seed     uint64  // selects the lost packets
 	nextPort uint16
 	flows    map[uint16]*Flow
-	corrupt  int // packets received that differ from what their sender wrote
+	refused  []netip.AddrPort // ends of flows that a load balancer has refused
+	corrupt  int              // packets received that differ from what their sender wrote
 }
 
 // StartCallerHost starts a host whose callers receive packets at one UDP port.
@@ -137,6 +139,7 @@
 			continue
 		}
 		if err != nil {
+			ch.noteRefused(fl)
 			return nil, err
 		}
 		fl.seq, fl.ack = fl.seq+1, answer.header.Seq+1
@@ -146,6 +149,21 @@
 	return nil, ErrTimeout
 }
 
+func (ch *CallerHost) noteRefused(fl *Flow) {
+	ch.mu.Lock()
+	defer ch.mu.Unlock()
+	if fl.ResetByBalancer {
+		ch.refused = append(ch.refused, netip.AddrPortFrom(ch.address, fl.port))
+	}
+}
+
+// Refused returns the callers' ends of the flows that load balancers have refused.
+func (ch *CallerHost) Refused() []netip.AddrPort {
+	ch.mu.Lock()
+	defer ch.mu.Unlock()
+	return slices.Clone(ch.refused)
+}
+
 // Request sends a request and returns the answer, which is the id of the server.
 func (fl *Flow) Request(request string, timeout time.Duration) (string, error) {
 	end := time.Now().Add(timeout)
--- a/lab/jpplatform/server.go
+++ b/lab/jpplatform/server.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"strings"
 	"sync"
+	"time"
 )
 
 // serverNumberBytes is the size of the server number in front of a packet.
@@ -25,6 +27,7 @@
 	mu         sync.Mutex
 	flows      map[string]*serverFlow
 	silent     bool           // receives packets without answering
+	delay      time.Duration  // of answers to requests
 	flowCount  int            // flows whose SYN arrived
 	executions map[string]int // by request
 	corrupt    int            // packets received that differ from what their sender wrote
@@ -88,6 +91,25 @@
 	sr.silent = silent
 }
 
+// SetDelay sets how long the server takes for a request.
+func (sr *Server) SetDelay(delay time.Duration) {
+	sr.mu.Lock()
+	defer sr.mu.Unlock()
+	sr.delay = delay
+}
+
+// Received reports whether a SYN of a flow from a caller's end reached the server.
+func (sr *Server) Received(caller netip.AddrPort) bool {
+	sr.mu.Lock()
+	defer sr.mu.Unlock()
+	for key := range sr.flows {
+		if strings.HasPrefix(key, caller.String()+" ") {
+			return true
+		}
+	}
+	return false
+}
+
 // FlowCount returns the number of flows that reached the server.
 func (sr *Server) FlowCount() int {
 	sr.mu.Lock()
@@ -178,7 +200,12 @@
 		fl.ack += uint32(len(data))
 		fl.seq += uint32(len(fl.lastAnswer))
 	}
-	sr.send(hd, fl, header{Seq: fl.seq - uint32(len(fl.lastAnswer)), Ack: fl.ack, Flags: flagACK}, fl.lastAnswer)
+	answer, echoed := header{Seq: fl.seq - uint32(len(fl.lastAnswer)), Ack: fl.ack, Flags: flagACK}, *fl
+	if sr.delay == 0 {
+		sr.send(hd, &echoed, answer, fl.lastAnswer)
+		return
+	}
+	time.AfterFunc(sr.delay, func() { sr.send(hd, &echoed, answer, echoed.lastAnswer) })
 }
 
 // send sends a packet to the sender of the packet with header to.
--- a/lab/jpplatform/site.go
+++ b/lab/jpplatform/site.go
@@ -202,14 +202,26 @@
 
 // Route is a route of the operator's manifest.
 type Route struct {
-	Address netip.AddrPort
-	Kind    string
-	Backend string
+	Address         netip.AddrPort
+	Kind            string
+	Backend         string
+	Priority        int
+	TargetLatencyMs int     // 0 if not stated
+	Split           []Share // in the place of Backend
+}
+
+// Share is a part of a route's split.
+type Share struct {
+	Backend string `json:"backend"`
+	Weight  int    `json:"weight"`
 }
 
 // StandardRoutes returns the routes with which a site starts.
 func StandardRoutes() []Route {
-	return []Route{{AlertRoute, "safe", "desk"}, {OrderRoute, "unsafe", "desk"}, {BrochureRoute, "download", "catalogue"}}
+	return []Route{
+		{Address: AlertRoute, Kind: "safe", Backend: "desk", Priority: 1}, {Address: OrderRoute, Kind: "unsafe", Backend: "desk", Priority: 1},
+		{Address: BrochureRoute, Kind: "download", Backend: "catalogue", Priority: 1},
+	}
 }
 
 // SetRoutes writes the next version of the manifest.
@@ -217,11 +229,20 @@
 	si.version += 3
 	var list []map[string]any
 	for ix, rt := range routes {
-		list = append(list, map[string]any{
+		entry := map[string]any{
 			"name": fmt.Sprintf("r-%d", ix), "hostname": rt.Address.Addr().String(),
-			"prefix": fmt.Sprintf("/%d/", rt.Address.Port()), "type": rt.Kind, "backend": rt.Backend,
-			"timeoutMs": 1000, "priority": 1, "maxAttempts": 2,
-		})
+			"prefix": fmt.Sprintf("/%d/", rt.Address.Port()), "type": rt.Kind,
+			"timeoutMs": 1000, "priority": rt.Priority, "maxAttempts": 2,
+		}
+		if rt.TargetLatencyMs > 0 {
+			entry["targetLatencyMs"] = rt.TargetLatencyMs
+		}
+		if len(rt.Split) > 0 {
+			entry["split"] = rt.Split
+		} else {
+			entry["backend"] = rt.Backend
+		}
+		list = append(list, entry)
 	}
 	var backends []map[string]any
 	for _, name := range []string{"desk", "catalogue"} {
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -66,15 +66,15 @@
 	rng  *rand.Rand
 	stop chan struct{}
 
-	mu               sync.Mutex
-	healthySince     map[*jpplatform.Server]time.Time // time since which a server is without a fault
-	activeServers    []*jpplatform.Server             // running and not draining
-	stableSince      time.Time                        // time of the last end of a fault of instances or the store
-	activeFaults     int                              // number of faults of instances and the store in progress
-	faulty           map[*jpplatform.Instance]bool    // instances with a signal whose effect has not ended
-	serviceByRequest map[string]string                // the service that each request is sent to
-	lastServerNumber uint32
-	faults           sync.WaitGroup
+	mu                sync.Mutex
+	healthySince      map[*jpplatform.Server]time.Time // time since which a server is without a fault
+	activeServers     []*jpplatform.Server             // running and not draining
+	stableSince       time.Time                        // time of the last end of a fault of instances or the store
+	activeFaults      int                              // number of faults of instances and the store in progress
+	faulty            map[*jpplatform.Instance]bool    // instances with a signal whose effect has not ended
+	servicesByRequest map[string][]string              // the services that each request may be sent to
+	lastServerNumber  uint32
+	faults            sync.WaitGroup
 }
 
 func runSoak(t *testing.T, seed uint64) {
@@ -84,11 +84,14 @@
 	so := &soakRun{
 		t: t, si: si, rng: rand.New(rand.NewPCG(seed, 0)), stop: make(chan struct{}), stableSince: now,
 		healthySince: map[*jpplatform.Server]time.Time{}, activeServers: slices.Clone(si.Servers), lastServerNumber: 0xb0000000,
-		faulty: map[*jpplatform.Instance]bool{}, serviceByRequest: map[string]string{},
+		faulty: map[*jpplatform.Instance]bool{}, servicesByRequest: map[string][]string{},
 	}
 	for _, sr := range si.Servers {
 		so.healthySince[sr] = now
 	}
+	si.Lock()
+	si.SetRoutes(soakRoutes...)
+	si.Unlock()
 	var workers sync.WaitGroup
 	for number := range soakCallers {
 		workers.Go(func() { so.runCaller(number) })
@@ -98,6 +101,7 @@
 		defer close(rotation)
 		so.updateRotation()
 	}()
+	workers.Go(so.overload)
 	writer := rand.New(rand.NewPCG(seed, 1))
 	for end := now.Add(soakFaultDuration); time.Now().Before(end); {
 		so.injectFault()
@@ -111,6 +115,7 @@
 	workers.Wait()
 	<-rotation
 	so.checkExecutions()
+	so.checkRefusals()
 }
 
 // updateRotation keeps instances that were not ready at two checks in a row out of the
@@ -140,12 +145,24 @@
 	}
 }
 
-var soakRoutes = []struct {
-	address    netip.AddrPort
-	service    string
-	repeatable bool // whether requests may be repeated
-}{
-	{jpplatform.AlertRoute, "desk", true}, {jpplatform.OrderRoute, "desk", false}, {jpplatform.BrochureRoute, "catalogue", true},
+var soakRoutes = []jpplatform.Route{
+	{Address: jpplatform.AlertRoute, Kind: "safe", Backend: "desk", Priority: 2, TargetLatencyMs: 300},
+	{Address: jpplatform.OrderRoute, Kind: "unsafe", Backend: "desk", Priority: 1, TargetLatencyMs: 500},
+	{Address: jpplatform.BrochureRoute, Kind: "download", Backend: "catalogue", Priority: 1},
+	{Address: netip.MustParseAddrPort("198.18.0.3:443"), Kind: "safe", Priority: 2, TargetLatencyMs: 300,
+		Split: []jpplatform.Share{{Backend: "desk", Weight: 90}, {Backend: "catalogue", Weight: 10}}},
+}
+
+// servicesOf returns the services that requests of a route may be sent to.
+func servicesOf(route jpplatform.Route) []string {
+	services := []string{}
+	for _, share := range route.Split {
+		services = append(services, share.Backend)
+	}
+	if len(services) == 0 {
+		services = append(services, route.Backend)
+	}
+	return services
 }
 
 // runCaller sends requests on a flow, and opens another flow when a request fails.
@@ -160,15 +177,15 @@
 		case <-time.After(time.Duration(40+number*7) * time.Millisecond):
 		}
 		if fl == nil {
-			opened, err := so.si.Callers.Open(route.address)
+			opened, err := so.si.Callers.Open(route.Address)
 			if err != nil {
 				continue
 			}
 			fl, server = opened, ""
 		}
-		request := fmt.Sprintf("%s %d %d", route.address, number, count)
+		request := fmt.Sprintf("%s %d %d", route.Address, number, count)
 		so.mu.Lock()
-		so.serviceByRequest[request] = route.service
+		so.servicesByRequest[request] = servicesOf(route)
 		so.mu.Unlock()
 		answer, err := fl.Request(request, 3*time.Second)
 		if err != nil {
@@ -183,6 +200,63 @@
 	}
 }
 
+const (
+	overloadCallers = 60 // several times the slots of the service that they use most
+	overloadTime    = 2 * time.Second
+	overloadDelay   = 150 * time.Millisecond // of a server's answers
+)
+
+// overload makes servers slow and sends more flows than they have slots, in the middle
+// of the faults.
+func (so *soakRun) overload() {
+	time.Sleep(soakFaultDuration / 3)
+	so.setDelay(overloadDelay)
+	var callers sync.WaitGroup
+	for number := range overloadCallers {
+		callers.Go(func() {
+			for end, count := time.Now().Add(overloadTime), 0; time.Now().Before(end); count++ {
+				so.sendOnce(soakRoutes[number%len(soakRoutes)], fmt.Sprintf("overload %d %d", number, count))
+			}
+		})
+	}
+	callers.Wait()
+	so.setDelay(0)
+}
+
+func (so *soakRun) setDelay(delay time.Duration) {
+	so.mu.Lock()
+	defer so.mu.Unlock()
+	for sr := range so.healthySince {
+		sr.SetDelay(delay)
+	}
+}
+
+// sendOnce sends a request on a flow of its own, if that opens.
+func (so *soakRun) sendOnce(route jpplatform.Route, request string) {
+	fl, err := so.si.Callers.Open(route.Address)
+	if err != nil {
+		return
+	}
+	so.mu.Lock()
+	so.servicesByRequest[request] = servicesOf(route)
+	so.mu.Unlock()
+	_, _ = fl.Request(request, 3*time.Second) // its executions are checked at the end
+}
+
+// checkRefusals checks that no server has received anything of a flow that an instance
+// refused.
+func (so *soakRun) checkRefusals() {
+	refused := so.si.Callers.Refused()
+	so.t.Logf("%d flows were refused", len(refused))
+	for _, caller := range refused {
+		for sr := range so.healthySince {
+			if sr.Received(caller) {
+				so.t.Errorf("the flow of %s was refused although its SYN reached %s", caller, sr.ID)
+			}
+		}
+	}
+}
+
 // checkReset checks that no instance resets a flow whose server is active and has been
 // without a fault for soakStableTime.
 func (so *soakRun) checkReset(fl *jpplatform.Flow, server string, err error) {
@@ -490,7 +564,7 @@
 
 // changeRoutes writes the standard routes, with an additional one in half of the cases.
 func (so *soakRun) changeRoutes(_ *jpplatform.Instance, _ time.Duration) {
-	routes := jpplatform.StandardRoutes()
+	routes := slices.Clone(soakRoutes)
 	if so.rng.IntN(2) == 0 {
 		routes = append(routes, jpplatform.Route{Address: netip.MustParseAddrPort("198.18.0.9:80"), Kind: "safe", Backend: "desk"})
 	}
@@ -516,12 +590,12 @@
 	so.si.Callers.SetLoss(0, 0)
 	for _, route := range soakRoutes {
 		for n := range 20 {
-			fl, err := so.si.Callers.Open(route.address)
+			fl, err := so.si.Callers.Open(route.Address)
 			if err == nil {
-				_, err = fl.Request(fmt.Sprintf("recovered %s %d", route.address, n), requestTimeout)
+				_, err = fl.Request(fmt.Sprintf("recovered %s %d", route.Address, n), requestTimeout)
 			}
 			if err != nil {
-				so.t.Errorf("%v after the last fault: flow %d to %s: %v", soakRecoveryTime, n, route.address, err)
+				so.t.Errorf("%v after the last fault: flow %d to %s: %v", soakRecoveryTime, n, route.Address, err)
 			}
 		}
 	}
@@ -535,7 +609,7 @@
 	time.Sleep(platformChangeBound)
 	opened := sr.FlowCount()
 	for n := range 30 {
-		if _, err := so.si.Callers.Open(soakRoutes[n%len(soakRoutes)].address); err != nil {
+		if _, err := so.si.Callers.Open(soakRoutes[n%len(soakRoutes)].Address); err != nil {
 			so.t.Errorf("open flow %d while %s is draining: %v", n, sr.ID, err)
 		}
 	}
@@ -551,12 +625,12 @@
 	so.mu.Lock()
 	defer so.mu.Unlock()
 	served := 0
-	for request, service := range so.serviceByRequest {
+	for request, services := range so.servicesByRequest {
 		ran := 0
 		for _, sr := range slices.Collect(maps.Keys(so.healthySince)) {
 			count := sr.Executions(request)
-			if count > 0 && sr.Entry.Backend != service {
-				so.t.Errorf("%q for %s was executed at %s of %s", request, service, sr.ID, sr.Entry.Backend)
+			if count > 0 && !slices.Contains(services, sr.Entry.Backend) {
+				so.t.Errorf("%q for %v was executed at %s of %s", request, services, sr.ID, sr.Entry.Backend)
 			}
 			ran += count
 		}
@@ -565,8 +639,8 @@
 		}
 		served += min(ran, 1)
 	}
-	so.t.Logf("%d of %d requests were executed", served, len(so.serviceByRequest))
-	if served*4 < len(so.serviceByRequest)*3 {
-		so.t.Errorf("%d of %d requests were executed, want at least three quarters", served, len(so.serviceByRequest))
+	so.t.Logf("%d of %d requests were executed", served, len(so.servicesByRequest))
+	if served*4 < len(so.servicesByRequest)*3 {
+		so.t.Errorf("%d of %d requests were executed, want at least three quarters", served, len(so.servicesByRequest))
 	}
 }
