--- a/core/jpdispatch/loadresult_test.go
+++ b/core/jpdispatch/loadresult_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -111,11 +112,13 @@
 // playLength is the time in which requests count, by the number of instances.
 var playLength = map[int]time.Duration{1: 5 * time.Second, 7: 2 * time.Second, 66: 500 * time.Millisecond, 195: 500 * time.Millisecond}
 
-// shareNoise is the part of a kind's few hundred requests that a play may take late by
+// rejectedNoise is the part of the arrivals below full load that may be rejected by chance,
+// shareNoise the part of a kind's few hundred requests that a play may take late by
 // chance. goodputNoise is the part of the work that the ends of the counted time may add or take.
 const (
-	shareNoise   = 0.03
-	goodputNoise = 0.01
+	shareNoise    = 0.03
+	goodputNoise  = 0.01
+	rejectedNoise = 0.01
 )
 
 // playRow is a play with the figures of eda5d93, which neither waited, refused nor spilled.
@@ -143,10 +146,10 @@
 	{"load", 66, 1.2, 0.936, 3993. / 9141, 1.000, 0.95, nil},
 	{"load", 66, 2, 0.977, 15437. / 20960, 0.822, 0.95, nil},
 	{"load", 66, 4, 0.999, 45214. / 50928, 0.495, 0, nil},
-	{"load", 195, 0.8, 0.704, 63. / 11358, 1, 0.95, nil},
-	{"load", 195, 1.2, 0.961, 9347. / 24965, 1, 0.95, nil},
-	{"load", 195, 2, 1.004, 46583. / 63120, 0.799, 0.95, nil},
-	{"load", 195, 4, 1.002, 133964. / 151011, 0.53, 0, nil},
+	{"load", 195, 0.8, 0.705, 47. / 11401, 1.000, 0.95, nil},
+	{"load", 195, 1.2, 0.965, 10016. / 25620, 0.999, 0.95, nil},
+	{"load", 195, 2, 1.001, 46359. / 62971, 0.824, 0.95, nil},
+	{"load", 195, 4, 0.999, 134706. / 151643, 0.510, 0, nil},
 	{"one kind bursts", 7, 0.7, 0.968, 2272. / 4276, 0.988, 0.95, func(pl *loadPlay) {
 		pl.after(playLead, func() { pl.factor["bag"] = 4 })
 	}},
@@ -175,32 +178,50 @@
 	}},
 }
 
-// Guards against callers that fare worse than without admission, spilling and learned
-// speeds, against work that is refused while a server is free, and against unrepeatable
-// requests that are served twice.
-func TestPlayOfLoad(t *testing.T) {
+// playResults holds the results of plays, by row, because two tests check them.
+var playResults sync.Map
+
+// playAll plays all rows and checks each result.
+func playAll(t *testing.T, check func(*playResult, *testing.T, playRow)) {
 	for _, row := range playRows {
 		if row.size > 66 && !*playLarge {
 			continue
 		}
-		t.Run(fmt.Sprintf("%s/%d/%v", row.name, row.size, row.load), func(t *testing.T) {
+		name := fmt.Sprintf("%s/%d/%v", row.name, row.size, row.load)
+		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			cfg := playConfig{seed: *playSeed, size: row.size, load: row.load, length: playLength[row.size], faults: row.faults}
-			rs := newLoadPlay(t, cfg).run()
-			t.Logf("%s\n%s", t.Name(), rs.table())
-			rs.check(t, row)
+			known, ok := playResults.Load(name)
+			if !ok {
+				cfg := playConfig{seed: *playSeed, size: row.size, load: row.load, length: playLength[row.size], faults: row.faults}
+				known = newLoadPlay(t, cfg).run()
+				playResults.Store(name, known)
+			}
+			rs := known.(*playResult)
+			t.Logf("%s\n%s", name, rs.table())
+			check(rs, t, row)
 		})
 	}
 }
 
-// check checks what callers got. The figures before are those of seed 1.
-func (rs *playResult) check(t *testing.T, row playRow) {
+// Guards against unrepeatable requests that are served twice, which the play checks, and
+// against flows that are refused below full load.
+func TestPlayOfLoad(t *testing.T) {
+	playAll(t, func(rs *playResult, t *testing.T, row playRow) {
+		if row.name == "load" && row.load < 1 && rs.refusals > 0 {
+			t.Errorf("%d flows were refused below full load", rs.refusals)
+		}
+	})
+}
+
+// Guards against callers that fare worse than without admission, spilling and learned
+// speeds, and against work that is refused while a server is free.
+func TestTargetsOfLoad(t *testing.T) { playAll(t, (*playResult).checkTargets) }
+
+// checkTargets checks what callers got. The figures before are those of seed 1.
+func (rs *playResult) checkTargets(t *testing.T, row playRow) {
 	if rs.refusedFree > 0 {
 		t.Errorf("%d flows were refused while a server was free", rs.refusedFree)
 	}
-	if row.name == "load" && row.load < 1 && rs.refusals > 0 {
-		t.Errorf("%d flows were refused below full load", rs.refusals)
-	}
 	if share := rs.share("bag"); share < row.urgent {
 		t.Errorf("%.3f of the requests of the highest priority are in time, want %.2f", share, row.urgent)
 	}
@@ -210,7 +231,7 @@
 	if rs.goodput < row.goodput-goodputNoise {
 		t.Errorf("goodput %.3f, was %.3f", rs.goodput, row.goodput)
 	}
-	if share := float64(rs.rejected) / float64(rs.arrivals); row.load > 1 && share > row.rejected/10 || share > max(row.rejected, 0.01) {
+	if share := float64(rs.rejected) / float64(rs.arrivals); row.load > 1 && share > row.rejected/10 || share > row.rejected+rejectedNoise {
 		t.Errorf("servers reject %.3f of the arrivals, was %.3f", share, row.rejected)
 	}
 }
