--- a/core/jpdispatch/flow.go
+++ b/core/jpdispatch/flow.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"jacinthpass/core/jpspeed"
 )
 
 const (
@@ -41,6 +43,7 @@
 	state          flowState
 	active         bool                    // counts as load of the server
 	requesting     bool                    // counts in server.requests
+	held           bool                    // counts in server.heldFlows
 	synSequence    uint32                  // sequence number of the SYN
 	sequence       uint32                  // highest sequence number of the caller, once open
 	lastAck        uint32                  // latest acknowledgement of the caller
@@ -52,7 +55,7 @@
 	lastSeenAt     time.Time               // latest packet of the flow at this instance
 	triedTags      [maxTriedServers]uint32 // tags of the servers that got the SYN
 	triedCount     int
-	speed          *routeSpeed // of the unanswered request, nil if its time is no sample
+	usual          *jpspeed.Usual // response time of such requests, nil if that of the unanswered one is no sample
 }
 
 // activate counts the flow as load of its server.
@@ -78,6 +81,9 @@
 	if !fl.requesting && fl.server != nil {
 		fl.requesting = true
 		fl.server.addRequests(1)
+		if fl.state != opening {
+			fl.server.begun++
+		}
 	}
 }
 
@@ -97,18 +103,31 @@
 	fl.release()
 	fl.server = sr
 	sr.trackedFlows++
+	if fl.state == opening || fl.state == open {
+		fl.held = true
+		sr.heldFlows++
+	}
 }
 
 // release removes the flow from its server and from the server's counts.
 func (fl *flow) release() {
 	fl.deactivate()
 	fl.clearWaiting()
+	fl.endHeld()
 	if fl.server != nil {
 		fl.server.trackedFlows--
 		fl.server = nil
 	}
 }
 
+// endHeld records that the server does not hold the flow any more.
+func (fl *flow) endHeld() {
+	if fl.held {
+		fl.held = false
+		fl.server.heldFlows--
+	}
+}
+
 // followRestart moves a flow that may have begun after its server's restart to
 // the restarted server. It follows several restarts in a row.
 func (fl *flow) followRestart() {
--- a/core/jpdispatch/place.go
+++ b/core/jpdispatch/place.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"jacinthpass/core/jpplacement"
 )
 
 // remotePenalty is added to the load per slot of a server in another data centre,
@@ -150,6 +152,9 @@
 	if sc == nil {
 		return nil, 0
 	}
+	if sr, choices := ds.sampleServer(now, sc, pk, fl); sr != nil {
+		return sr, choices
+	}
 	for _, accepts := range []func(time.Time, *service, *server) bool{ds.available, ds.coldAvailable, ds.mayAnswer} {
 		if sr, choices := ds.leastLoaded(now, sc, pk, fl, accepts); sr != nil {
 			return sr, choices
@@ -158,6 +163,62 @@
 	return nil, 0
 }
 
+// sampling compares three servers for each flow. Instances see each other's flows late:
+// if each took the least loaded server of all, many would take the same one.
+var sampling = jpplacement.Policy{Samples: 3}
+
+// maxReadAlone is the number of servers that the only instance of a data centre, which
+// knows all their flows, reads for each of its flows.
+const maxReadAlone = 6
+
+// sampleServer selects the server for a new flow among some of this data centre's available
+// ones, by their active flows and recent requests per slot. It returns nil if there are
+// few or none of those compared can take the flow.
+func (ds *Dispatcher) sampleServer(now time.Time, sc *service, pk Packet, fl *flow) (*server, int) {
+	pl := ds.poolOf(now, sc)
+	maxRead := sampling.Samples
+	if ds.position.LocalCount == 1 {
+		maxRead = maxReadAlone
+	}
+	if pl.remote || len(pl.servers) <= maxRead {
+		return nil, 0
+	}
+	ix, ok := jpplacement.Select(sampling, sample{ds, now, sc, fl, pl}, flowHash(pk, 0))
+	if !ok {
+		return nil, 0
+	}
+	return pl.servers[ix], len(pl.servers)
+}
+
+// recentShare is the part of a load that is taken from recent requests: the greater one,
+// because the callers of some flows send much more than those of others.
+const recentShare = 2. / 3
+
+// sample makes the servers of a pool the candidates for a flow, which may be nil.
+type sample struct {
+	ds      *Dispatcher
+	now     time.Time
+	service *service
+	flow    *flow
+	pool    *pool
+}
+
+func (sm sample) Len() int { return len(sm.pool.servers) }
+
+// Load returns what placingScore does, with a part of the flows replaced by the recent
+// requests, each counted as the number of flows that the servers of the pool have for
+// one.
+func (sm sample) Load(ix int) (float64, bool) {
+	sr := sm.pool.servers[ix]
+	if !sm.ds.eligible(sm.now, sm.service, sr) || !sm.ds.available(sm.now, sm.service, sr) || sm.flow != nil && sm.flow.hasTried(sr.tag) {
+		return 0, false
+	}
+	score := sm.ds.placingScore(sm.now, sr)
+	flows := sr.activeFlows + sr.peers(sm.now).flows
+	recent := sm.pool.perRecent*(float64(sr.begun)+sr.recent.Value(sm.now)) - float64(flows)
+	return score + recentShare*recent/sm.ds.concurrency(sm.now, sr), score < remotePenalty
+}
+
 // placeUntracked places a flow for which the flow table has no room. It selects
 // the server by a hash of the flow, so that copies of the SYN reach the same one.
 func (ds *Dispatcher) placeUntracked(now time.Time, sc *service, pk Packet) Decision {
@@ -216,9 +277,20 @@
 	return !sr.cfg.Draining && !now.Before(sr.heldUntil) && !ds.dataCentresOut[sr.cfg.DataCentre] && sr.activeFlows < sc.cfg.MaxFlows
 }
 
-// available reports whether a server is warm and not suspected.
+// available reports whether a server is warm, not suspected and below its limit on flows.
 func (ds *Dispatcher) available(now time.Time, sc *service, sr *server) bool {
-	return !sr.cold(now, sc) && !ds.suspected(now, sr)
+	return !sr.cold(now, sc) && !ds.suspected(now, sr) && ds.heldFlows(now, sc, sr) < sc.cfg.MaxFlows
+}
+
+// heldFlows estimates the flows of all instances of the data centre at a server, idle ones
+// included. It decides only which server is preferred, so that no flow is refused because
+// of an estimate.
+func (ds *Dispatcher) heldFlows(now time.Time, sc *service, sr *server) int {
+	held, heard := sr.peers(now).held, sc.pool.estimator.Heard(now)
+	if unheard := ds.position.LocalCount - 1 - heard; heard > 0 && unheard > 0 {
+		held += held * unheard / heard
+	}
+	return sr.heldFlows + held
 }
 
 func (ds *Dispatcher) suspected(now time.Time, sr *server) bool {
