--- a/core/jpdispatch/place.go
+++ b/core/jpdispatch/place.go
@@ -194,10 +194,6 @@
 // because the callers of some flows send much more than those of others.
 const recentShare = 2. / 3
 
-// requestWeight is the additional load of a request without a response, in flows: a
-// server that has become slow or stands still has the more of them.
-const requestWeight = 2
-
 // sample makes the servers of a pool the candidates for a flow, which may be nil.
 type sample struct {
 	ds      *Dispatcher
@@ -211,17 +207,16 @@
 
 // Load returns what placingScore does, with a part of the flows replaced by the recent
 // requests, each counted as the number of flows that the servers of the pool have for
-// one, and with the requests without a response added.
+// one.
 func (sm sample) Load(ix int) (float64, bool) {
 	sr := sm.pool.servers[ix]
 	if !sm.ds.eligible(sm.now, sm.service, sr) || !sm.ds.available(sm.now, sm.service, sr) || sm.flow != nil && sm.flow.hasTried(sr.tag) {
 		return 0, false
 	}
 	score := sm.ds.placingScore(sm.now, sr)
-	peers := sr.peers(sm.now)
-	recent := sm.pool.perRecent*(float64(sr.begun)+sr.recent.Value(sm.now)) - float64(sr.activeFlows+peers.flows)
-	requests := float64(sr.requests) + peers.requests
-	return score + (recentShare*recent+requestWeight*requests)/sm.ds.concurrency(sm.now, sr), score < remotePenalty
+	flows := sr.activeFlows + sr.peers(sm.now).flows
+	recent := sm.pool.perRecent*(float64(sr.begun)+sr.recent.Value(sm.now)) - float64(flows)
+	return score + recentShare*recent/sm.ds.concurrency(sm.now, sr), score < remotePenalty
 }
 
 // placeUntracked places a flow for which the flow table has no room. It selects
--- a/core/jpplacement/play_test.go
+++ b/core/jpplacement/play_test.go
@@ -165,11 +165,8 @@
 		{"recent, all", jpplacement.Policy{}, func(fg figures, _ float64) float64 { return fg.recent }},
 	}
 	mixed := func(fg figures, _ float64) float64 { return fg.flows/3 + fg.recent/6 }
-	all := func(fg figures, placed float64) float64 { return mixed(fg, placed) + 2*fg.requests }
 	for _, samples := range []int{2, 3, 4, 8} {
-		policies = append(policies,
-			playPolicy{fmt.Sprintf("flows and recent, %d", samples), jpplacement.Policy{Samples: samples}, mixed},
-			playPolicy{fmt.Sprintf("flows, recent and requests, %d", samples), jpplacement.Policy{Samples: samples}, all})
+		policies = append(policies, playPolicy{fmt.Sprintf("flows and recent, %d", samples), jpplacement.Policy{Samples: samples}, mixed})
 	}
 	var table strings.Builder
 	results := map[string][2]float64{}
@@ -185,7 +182,7 @@
 		fmt.Fprintf(&table, "\n%-40s busiest/mean %.2f, found no slot %.3f", pc.name, sum[0], sum[1])
 	}
 	t.Log(table.String())
-	used, before := results["flows, recent and requests, 3"], results["flows, all"]
+	used, before := results["flows and recent, 3"], results["flows, all"]
 	if used[0] >= before[0] || used[1] >= before[1] {
 		t.Errorf("the policy in use has %.3v, the least loaded of all %.3v", used, before)
 	}
