jpentry: two waits of a key that end at once no longer end the process

Cause (found in review): a caller that reuses the port of a flow that waits, while both end in one call of Release, left the second one without its SYN, and ToServer panicked. Change: the kept SYNs are removed after all ends are read. TestWaitsOfReusedPort panicked before.

--- a/io/jpentry/wait.go
+++ b/io/jpentry/wait.go
@@ -29,9 +29,13 @@
 
 // takeReleased returns the flows that wait no more. The caller holds mu.
 func (en *Entry) takeReleased(now time.Time) []releasedSYN {
-	var list []releasedSYN
-	for _, rl := range en.dispatcher.Release(now) {
+	released := en.dispatcher.Release(now)
+	list := make([]releasedSYN, 0, len(released))
+	for _, rl := range released {
 		list = append(list, releasedSYN{rl, en.waiting[rl.Key]})
+	}
+	// A key may be released twice: a caller has reused its port for a flow that waited too.
+	for _, rl := range released {
 		delete(en.waiting, rl.Key)
 	}
 	return list
