jpentry: held packets that must wait keep their time limit

Cause (found in review): handleHeld parsed a held packet behind a headroom that it does not have, took it for malformed, and so held it again, for up to three times 0.6 s. Change: it parses the packet. TestHeldOnce failed before.

--- a/io/jpentry/packets.go
+++ b/io/jpentry/packets.go
@@ -157,7 +157,7 @@
 func (en *Entry) handleHeld() {
 	en.mu.Lock()
 	packets := en.held.Take(time.Now(), func(packet heldPacket) bool {
-		pk, ok := en.platform.Codec.Parse(packet.data[en.platform.Codec.Headroom():])
+		pk, ok := en.platform.Codec.Parse(packet.data)
 		return !ok || !en.dispatcher.MustHold(pk)
 	})
 	en.mu.Unlock()
