jpdispatch: waits follow their routes, and refusals allow for time in the socket

Causes (found in review): (1) a flow waited for the service that its route had led to when it came; a manifest that moved the route left it there, with a limit of minus infinity, until it was refused. (2) A SYN that waited in the socket until a copy was due counted as just arrived, so that the refusal might not be true. Change: (1) such a flow is placed by its route at the next release; the limit needs two priorities to differ. (2) Waits begin at the earliest arrival; what is not confirmed is dropped. TestWaitsFollowRoutes and TestNoRefusalAfterSocket failed before.

--- a/core/jpadmission/limit.go
+++ b/core/jpadmission/limit.go
@@ -63,7 +63,7 @@
 	switch {
 	case cl.Late:
 		limit = lateLimit
-	case cl.Rank > 0:
+	case cl.Rank > 0 && cl.Ranks > 1:
 		lowest := lowestLimit - (lowestLimit-reservedLimit)*lm.reserve
 		limit -= (highestLimit - lowest) * float64(cl.Rank) / float64(cl.Ranks-1)
 	}
--- a/core/jpdispatch/admit.go
+++ b/core/jpdispatch/admit.go
@@ -74,7 +74,7 @@
 		it.Deadline, it.Expires = earlier(it.Deadline, deadline), earlier(it.Expires, expires)
 	}
 	if gt.queue.Hopeless(now, it) || repeated && !gt.retries.TryWithdraw(now) {
-		return ds.refuseWaiter(now, &waiter{packet: pk, item: it, arrivedAt: now}), true
+		return ds.refuseArrival(now, newWaiter(now, pk, it)), true
 	}
 	return ds.wait(now, sc, gt, pk, it), true
 }
@@ -109,6 +109,11 @@
 	gt.limits.Observe(now, fill)
 }
 
+// leadsTo reports whether a route sends flows to a service.
+func leadsTo(rt *jpdirectory.Route, service string) bool {
+	return slices.ContainsFunc(rt.Targets, func(tg jpdirectory.Target) bool { return tg.Service == service && tg.Weight > 0 })
+}
+
 // rankPriorities sets the priorities of the routes that state a latency target, for each
 // service.
 func (ds *Dispatcher) rankPriorities() {
--- a/core/jpdispatch/admit_test.go
+++ b/core/jpdispatch/admit_test.go
@@ -274,3 +274,44 @@
 		t.Errorf("%d flows of the highest priority were refused, want none", refusedUrgent)
 	}
 }
+
+// Guards against flows that wait for a service to which no route leads them any more, while
+// the new one is idle.
+func TestWaitsFollowRoutes(t *testing.T) {
+	ah := newAdmissionHarness(t, fullRequests)
+	waiting, dc := ah.arrive(at(201), urgentRoute)
+	ah.wantDecision(dc, Wait, Waiting)
+	other := deskServer(3, localDC)
+	other.Service = "catalogue"
+	ah.server(at(205), other)
+	routes := admissionRoutes()
+	routes[1].Targets = []jpdirectory.Target{{Service: "catalogue", Weight: 1}}
+	ah.manifest(3, routes...)
+	list := ah.wantReleased(at(215), Forward, Placed, waiting)
+	if len(list) == 1 && list[0].Decision.Server.ID != other.ID {
+		t.Errorf("placed at %s, want %s", list[0].Decision.Server.ID, other.ID)
+	}
+}
+
+// Guards against untrue refusals: a SYN that has waited in the socket until its copy was due
+// may have been placed by another instance.
+func TestNoRefusalAfterSocket(t *testing.T) {
+	ah := newAdmissionHarness(t, fullRequests)
+	for ah.Waiting() < maxWaiting {
+		ah.arrive(at(201), urgentRoute)
+	}
+	for _, tc := range []struct {
+		name         string
+		arrivedAfter time.Time
+		want         Outcome
+	}{
+		{"just arrived", at(210), Refuse},
+		{"copy due", at(20), Drop},
+	} {
+		syn := ah.newSYN()
+		syn.ArrivedAfter = tc.arrivedAfter
+		if dc := ah.Handle(at(215), syn); dc.Outcome != tc.want || dc.Reason != Overloaded {
+			t.Errorf("%s: %v for %v, want %v", tc.name, dc.Outcome, dc.Reason, tc.want)
+		}
+	}
+}
--- a/core/jpdispatch/wait.go
+++ b/core/jpdispatch/wait.go
@@ -45,6 +45,16 @@
 	arrivedAt time.Time // of the first transmission
 }
 
+// newWaiter returns the waiter of a flow whose SYN is handled now. The SYN may have waited
+// in the socket, so that its copies are due earlier.
+func newWaiter(now time.Time, pk Packet, it jpadmission.Item[FlowKey]) *waiter {
+	wt := &waiter{packet: pk, item: it, arrivedAt: now}
+	if !pk.ArrivedAfter.IsZero() && pk.ArrivedAfter.Before(now) {
+		wt.arrivedAt = pk.ArrivedAfter
+	}
+	return wt
+}
+
 // confirmed reports whether all transmissions of the SYN so far have come to this
 // instance. If not, the routers may have moved the flow to another instance, which may
 // place it.
@@ -80,10 +90,11 @@
 
 // wait lets a new flow wait.
 func (ds *Dispatcher) wait(now time.Time, sc *service, gt *gate, pk Packet, it jpadmission.Item[FlowKey]) Decision {
-	wt := &waiter{packet: pk, service: sc.cfg.Name, item: it, arrivedAt: now}
+	wt := newWaiter(now, pk, it)
+	wt.service = sc.cfg.Name
 	refused, full := gt.queue.Add(now, it)
 	if full && refused.Key == it.Key {
-		return ds.refuseWaiter(now, wt)
+		return ds.refuseArrival(now, wt)
 	}
 	if full {
 		ds.endRefused(now, refused.Key)
@@ -156,8 +167,8 @@
 		limited = !es.Guess
 		for limited && ds.releaseOne(now, gt, func(wt *waiter, assured bool) bool {
 			rt := ds.routes[wt.packet.Route]
-			if rt == nil || rt.TargetLatency <= 0 {
-				return true
+			if rt == nil || rt.TargetLatency <= 0 || !leadsTo(rt, name) {
+				return true // a manifest has changed its route
 			}
 			limit := gt.perSlot(sc, rt, now.After(wt.item.Deadline))
 			if assured {
@@ -233,6 +244,15 @@
 	ds.end(now, wt, ds.refuseWaiter(now, wt))
 }
 
+// refuseArrival refuses a flow that may not wait, or drops its SYN if a copy may have
+// reached another instance meanwhile.
+func (ds *Dispatcher) refuseArrival(now time.Time, wt *waiter) Decision {
+	if !wt.confirmed(now) {
+		return Decision{Reason: Overloaded}
+	}
+	return ds.refuseWaiter(now, wt)
+}
+
 // refuseWaiter refuses a flow that no instance has sent to a server.
 func (ds *Dispatcher) refuseWaiter(now time.Time, wt *waiter) Decision {
 	ds.admission.refusals.Note(now, callerRoute{wt.packet.Caller.Addr(), wt.packet.Route}, wt.item.Deadline, wt.item.Expires)
