--- a/core/jpdispatch/speed.go
+++ b/core/jpdispatch/speed.go
@@ -165,6 +165,10 @@
 		}
 		estimates = append(estimates, &sr.speed)
 	}
+	sc.unheard = 1
+	if es := ds.fullness(now, sc); !es.Guess {
+		sc.unheard = es.Instances / es.Seen
+	}
 	if len(estimates) == 0 {
 		return
 	}
@@ -175,10 +179,6 @@
 		}
 	}
 	jpspeed.Update(now, estimates, spread)
-	sc.unheard = 1
-	if es := ds.fullness(now, sc); !es.Guess {
-		sc.unheard = es.Instances / es.Seen
-	}
 }
 
 // speedChange returns the change of the belief since it was last returned.
--- a/core/jpdispatch/split.go
+++ b/core/jpdispatch/split.go
@@ -48,6 +48,7 @@
 			}
 		}
 		if len(services) < 2 {
+			delete(ds.splits, rt.Address) // of an earlier route with the address
 			continue
 		}
 		key := strings.Join(services, "\n")
--- a/io/jpentry/settings.go
+++ b/io/jpentry/settings.go
@@ -68,7 +68,7 @@
 	AllRecords Scope = iota
 	ServerRecords
 	OperatorRecords // the manifest and the data centres that are out
-	InstanceRecords // may be seconds old
+	InstanceRecords
 )
 
 // Page is a page of the store's records.
