--- a/core/jpdirectory/transit.go
+++ b/core/jpdirectory/transit.go
@@ -17,6 +17,8 @@
 // its sender that is never set, such as the time since the start of the process. Clocks of
 // different machines need not agree. K identifies peers.
 //
+// The first message of a peer counts as the fastest one, so its delay is not noticed.
+//
 // A sender that has been suspended or has started again seems slower for up to twice
 // transitWindow, so that what it says counts as older than it is.
 type Transits[K comparable] struct {
--- a/core/jpdispatch/admit.go
+++ b/core/jpdispatch/admit.go
@@ -82,7 +82,7 @@
 // hasFreeSlot reports whether a server has fewer requests than it works on, as far as this
 // instance and its peers know.
 func (ds *Dispatcher) hasFreeSlot(now time.Time, sc *service, sr *server) bool {
-	return float64(sr.requests)+sr.peers(now).requests*max(sc.unheard, 1) < ds.concurrency(now, sr)
+	return float64(sr.requests)+sr.peers(now).requests*max(sc.unheard, 1) < ds.concurrency(sr)
 }
 
 // perSlot returns how many requests for each slot a service may have when a flow of a
--- a/core/jpdispatch/capacity.go
+++ b/core/jpdispatch/capacity.go
@@ -96,7 +96,7 @@
 		}
 		pl.remote = ix >= sc.local
 		pl.servers = append(pl.servers, sr)
-		pl.slots += ds.concurrency(now, sr)
+		pl.slots += ds.concurrency(sr)
 		pl.requests += sr.requests
 		sr.pool = pl
 		flows += sr.load(now)
--- a/core/jpdispatch/place.go
+++ b/core/jpdispatch/place.go
@@ -216,7 +216,7 @@
 	score := sm.ds.placingScore(sm.now, sr)
 	flows := sr.activeFlows + sr.peers(sm.now).flows
 	recent := sm.pool.perRecent*(float64(sr.begun)+sr.recent.Value(sm.now)) - float64(flows)
-	return score + recentShare*recent/sm.ds.concurrency(sm.now, sr), score < remotePenalty
+	return score + recentShare*recent/sm.ds.concurrency(sr), score < remotePenalty
 }
 
 // placeUntracked places a flow for which the flow table has no room. It selects
--- a/core/jpdispatch/speed.go
+++ b/core/jpdispatch/speed.go
@@ -29,14 +29,14 @@
 }
 
 // concurrency returns how many requests a server takes well at a time.
-func (ds *Dispatcher) concurrency(_ time.Time, sr *server) float64 {
+func (ds *Dispatcher) concurrency(sr *server) float64 {
 	return float64(max(sr.cfg.Slots, 1)) / sr.speed.Slowness()
 }
 
 // placingScore returns the load of a server by which servers are compared for new flows.
 // A slow server needs a lead: requests take longer there even if it has nothing else to do.
 func (ds *Dispatcher) placingScore(now time.Time, sr *server) float64 {
-	return float64(sr.load(now))/ds.concurrency(now, sr) + sr.speed.Slowness() - 1
+	return float64(sr.load(now))/ds.concurrency(sr) + sr.speed.Slowness() - 1
 }
 
 // learnsSpeed reports whether the requests of a route are samples: its callers want
--- a/core/jpdispatch/split.go
+++ b/core/jpdispatch/split.go
@@ -72,7 +72,7 @@
 	for _, name := range sp.services {
 		ld := jpsplit.Load[string]{Target: name}
 		if ds.takesFlows(now, name) {
-			es, _ := ds.Fullness(now, name)
+			es := ds.fullness(now, ds.services[name])
 			ld.Requests, ld.Slots = es.Requests, max(es.Slots, 1) // 0 if all may not answer
 			ld.Known = !es.Guess && now.Sub(es.OldestAt) <= maxFullnessAge
 		}
