--- a/io/jpentry/sync_test.go
+++ b/io/jpentry/sync_test.go
@@ -10,7 +10,7 @@
 	"jacinthpass/core/jpdirectory"
 )
 
-// pagedStore returns one record per page, two pages of each scope, and fails some of the
+// pagedStore returns one record per page, three pages of each scope, and fails some of the
 // calls.
 type pagedStore struct {
 	Store
@@ -30,7 +30,7 @@
 	if slices.Contains(ps.failingCalls, len(ps.requested)) {
 		return Page{}, errBusy
 	}
-	next := map[string]string{"": "a", "a": ""}[after]
+	next := map[string]string{"": "a", "a": "b", "b": ""}[after]
 	record := jpdirectory.Record{Key: jpdirectory.Key{Kind: jpdirectory.ServerRecord, Name: "after " + after}}
 	return Page{Records: []jpdirectory.Record{record}, Revision: uint64(10 + len(ps.requested)), Next: next}, nil
 }
@@ -38,33 +38,41 @@
 // Guards against a full read that starts over after a page could not be read, and against
 // packets of open flows that wait for more than the servers.
 func TestFullReadResumes(t *testing.T) {
-	ps := &pagedStore{failingCalls: []int{2, 4}}
-	fr := newFullRead(time.Unix(1_790_000_000, 0), scopesAtStart(false)...)
-	var up jpdirectory.Update
-	var early []int // records that were known early
-	failures := 0
-	for {
-		var err error
-		up, err = fr.readRemaining(t.Context(), ps, func(records []jpdirectory.Record) { early = append(early, len(records)) })
-		if err == nil {
-			break
+	for _, tc := range []struct {
+		name    string
+		first   bool
+		failing []int
+		want    []pageRequest
+		early   []int // records that are known early
+	}{
+		{"first start", true, []int{2, 4}, []pageRequest{{AllRecords, ""}, {AllRecords, "a"}, {AllRecords, "a"}, {AllRecords, "b"}, {AllRecords, "b"}}, nil},
+		{"restart", false, []int{2, 6}, []pageRequest{
+			{ServerRecords, ""}, {ServerRecords, "a"}, {ServerRecords, "a"}, {ServerRecords, "b"},
+			{OperatorRecords, ""}, {OperatorRecords, "a"}, {OperatorRecords, "a"}, {OperatorRecords, "b"},
+			{InstanceRecords, ""}, {InstanceRecords, "a"}, {InstanceRecords, "b"},
+		}, []int{3, 6}},
+	} {
+		ps := &pagedStore{failingCalls: tc.failing}
+		fr := newFullRead(time.Unix(1_790_000_000, 0), scopesAtStart(tc.first)...)
+		var up jpdirectory.Update
+		var early []int
+		failures := 0
+		for {
+			var err error
+			up, err = fr.readRemaining(t.Context(), ps, func(records []jpdirectory.Record) { early = append(early, len(records)) })
+			if err == nil {
+				break
+			}
+			failures++
+		}
+		if failures != 2 || !slices.Equal(ps.requested, tc.want) || !slices.Equal(early, tc.early) {
+			t.Errorf("%s: %d failures, pages %v, want %v; early %v, want %v", tc.name, failures, ps.requested, tc.want, early, tc.early)
+		}
+		if records := len(tc.want) - failures; len(up.Records) != records || up.Revision != 11 || !up.Full {
+			t.Errorf("%s: %d records, revision %d, full %t; want %d, the first page's 11, true", tc.name, len(up.Records), up.Revision, up.Full, records)
+		}
+		if fr.pageTimeout != maxPageTimeout {
+			t.Errorf("%s: page timeout %v after two failures, want %v", tc.name, fr.pageTimeout, maxPageTimeout)
 		}
-		failures++
-	}
-	want := []pageRequest{
-		{ServerRecords, ""}, {ServerRecords, "a"}, {ServerRecords, "a"}, {OperatorRecords, ""}, {OperatorRecords, ""}, {OperatorRecords, "a"},
-		{InstanceRecords, ""}, {InstanceRecords, "a"},
-	}
-	if failures != 2 || !slices.Equal(ps.requested, want) {
-		t.Errorf("%d failures, pages %v, want %v", failures, ps.requested, want)
-	}
-	if !slices.Equal(early, []int{2, 4}) {
-		t.Errorf("%v records were known early, want 2 and 4", early)
-	}
-	if len(up.Records) != 6 || up.Revision != 11 || !up.Full {
-		t.Errorf("%d records, revision %d, full %t; want 6, the first page's 11, true", len(up.Records), up.Revision, up.Full)
-	}
-	if fr.pageTimeout != maxPageTimeout {
-		t.Errorf("page timeout %v after two failures, want %v", fr.pageTimeout, maxPageTimeout)
 	}
 }
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -151,6 +151,7 @@
 	{Address: jpplatform.BrochureRoute, Kind: "download", Backend: "catalogue", Priority: 1},
 	{Address: netip.MustParseAddrPort("198.18.0.3:443"), Kind: "safe", Priority: 2, TargetLatencyMs: 300,
 		Split: []jpplatform.Share{{Backend: "desk", Weight: 90}, {Backend: "catalogue", Weight: 10}}},
+	{Address: netip.MustParseAddrPort("198.18.0.4:443"), Kind: "safe", Backend: "desk"},
 }
 
 // servicesOf returns the services that requests of a route may be sent to.
