jpdispatch: requests that no server can be working on any more don't fill a service

Change: a flow counts until the first copy of its SYN is due, a request for 0.5 s without a response.

--- a/core/jpdispatch/capacity.go
+++ b/core/jpdispatch/capacity.go
@@ -114,6 +114,20 @@
 	}
 }
 
+// endOverdueRequest ends the count of a request that no server can be working on any more: its
+// flow has not opened by the time of the SYN's first copy, or it has no response for
+// stuckThreshold. Callers that have gone would otherwise fill a service for seconds, as after
+// a loss of power.
+func (ds *Dispatcher) endOverdueRequest(now time.Time, fl *flow) {
+	limit := stuckThreshold
+	if fl.state == opening {
+		limit = answerTimeout
+	}
+	if fl.requesting && now.Sub(fl.sentAt) >= limit {
+		fl.endRequest()
+	}
+}
+
 // sampleRequests adds the current numbers of requests to what the next report of this
 // instance averages.
 func (ds *Dispatcher) sampleRequests(now time.Time) {
--- a/core/jpdispatch/capacity_test.go
+++ b/core/jpdispatch/capacity_test.go
@@ -99,3 +99,18 @@
 		t.Errorf("requests of an earlier report are in %+v", got)
 	}
 }
+
+// Guards against services that look full because of callers that have gone: SYNs that no
+// server has accepted, and requests without a response.
+func TestOverdueRequestsEnd(t *testing.T) {
+	hn := newHarness(t, deskServer(1, localDC))
+	hn.Handle(at(0), hn.newSYN())
+	syn, sr := hn.open(at(0))
+	hn.Handle(at(5), nextPacket(syn, sr.Tag, 20))
+	for _, tc := range []struct{ from, to, want int }{{0, 100, 2}, {200, 300, 1}, {400, 500, 1}, {600, 700, 0}} {
+		hn.runTicks(at(tc.from), at(tc.to))
+		if es, _ := hn.Fullness(at(tc.to), "desk"); es.Own != float64(tc.want) {
+			t.Errorf("%g requests at %d ms, want %d", es.Own, tc.to, tc.want)
+		}
+	}
+}
--- a/core/jpdispatch/tick.go
+++ b/core/jpdispatch/tick.go
@@ -43,6 +43,7 @@
 			resets = append(resets, rs)
 		}
 		ds.noteStuck(now, fl)
+		ds.endOverdueRequest(now, fl)
 		keep := ds.keep(now, fl)
 		if !keep {
 			fl.release()
