--- a/review/jpreview2/instance.go
+++ b/review/jpreview2/instance.go
@@ -26,8 +26,9 @@
 	log     *os.File
 	cmd     *exec.Cmd
 	done    chan struct{}
-	misses  int         // readiness checks that failed in a row
-	inTurn  atomic.Bool // in rotation
+	misses  int          // readiness checks that failed in a row
+	inTurn  atomic.Bool  // in rotation
+	probed  atomic.Int64 // Unix ns of the begin of the latest readiness check
 	started time.Time
 }
 
@@ -122,6 +123,7 @@
 	url := fmt.Sprintf("http://%s/readiness", netip.AddrPortFrom(in.ip, in.rig.readyPort))
 	for ctx.Err() == nil {
 		began := time.Now()
+		in.probed.Store(began.UnixNano())
 		resp, err := client.Get(url)
 		ready := err == nil && resp.StatusCode == http.StatusOK
 		if err == nil {
--- a/review/jpreview2/move.go
+++ b/review/jpreview2/move.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"jacinthpass/lab/jpplatform"
@@ -58,13 +57,8 @@
 	if err != nil {
 		return rg, err
 	}
-	useCtx, stop := context.WithCancel(ctx)
+	ct, stop := rg.startUsers(ctx, 80, 80, 80)
 	defer stop()
-	var ct counts
-	var users sync.WaitGroup
-	for ix := range 240 {
-		users.Go(func() { rg.use(useCtx, rg.consumers[ix%len(rg.consumers)], ix, &ct) })
-	}
 	time.Sleep(6 * time.Second)
 	var door *jpplatform.Proxy
 	for round := range 4 {
@@ -94,8 +88,6 @@
 		rg.judgeDrain(sv, accepted, moved)
 	}
 	stop()
-	users.Wait()
-	rg.logf("requests: %d answered, %d flows refused, %d reset, %d without an answer",
-		ct.answered.Load(), ct.refused.Load(), ct.reset.Load(), ct.unanswered.Load())
+	rg.logCounts(ct)
 	return rg, nil
 }
--- a/review/jpreview2/rig.go
+++ b/review/jpreview2/rig.go
@@ -23,6 +23,7 @@
 	idleTimeout  = 15 * time.Second
 	maxFlowAge   = 60 * time.Second
 	connected    = 4 * time.Second // connectedMs
+	reorderTime  = 2 * time.Second // reorderMs
 )
 
 // Services and their routes.
@@ -50,8 +51,9 @@
 	mu      sync.Mutex
 	began   time.Time
 	record  *os.File
-	owners  map[string]*server // of open flows, by consumer's end and route
-	foreign map[string]*server // servers other than the flow's own that have reset it
+	owners  map[string]*server     // of open flows, by consumer's end and route
+	foreign map[string]*server     // servers that have got a packet of the flow and do not hold it
+	astray  map[string][]time.Time // such packets since the latest one at the flow's own server
 	runs    map[string][]string
 	lost    int
 	random  *rand.Rand
@@ -70,7 +72,7 @@
 	}
 	rg := &rig{
 		root: root, dir: dir, base: byte(100 + rand.N(140)), zones: order, record: record, began: time.Now(),
-		owners: map[string]*server{}, foreign: map[string]*server{}, runs: map[string][]string{},
+		owners: map[string]*server{}, foreign: map[string]*server{}, astray: map[string][]time.Time{}, runs: map[string][]string{},
 		random: rand.New(rand.NewPCG(rand.Uint64(), 0)),
 	}
 	for _, port := range []*uint16{&rg.dataPort, &rg.readyPort, &rg.controlPort, &rg.serverPort} {
@@ -265,13 +267,33 @@
 	rg.owners[flowName(pk.src, pk.dst)] = sv
 }
 
-// noteReset records that a server gets a packet of a flow that it does not hold.
-func (rg *rig) noteReset(sv *server, pk packet) {
+// noteForeign records that a server gets a packet of a flow that it does not hold.
+func (rg *rig) noteForeign(sv *server, pk packet) {
 	rg.mu.Lock()
 	defer rg.mu.Unlock()
 	name := flowName(pk.src, pk.dst)
 	rg.foreign[name] = sv
-	rg.logLocked("server %s: does not hold flow %s (flags %d, %d B), sends a reset", sv.id, name, pk.flags, len(pk.data))
+	rg.astray[name] = append(rg.astray[name], time.Now())
+	rg.logLocked("server %s: does not hold flow %s (flags %d, %d B)", sv.id, name, pk.flags, len(pk.data))
+}
+
+// noteOwn records that a flow's own server gets a packet of it.
+func (rg *rig) noteOwn(pk packet) {
+	rg.mu.Lock()
+	defer rg.mu.Unlock()
+	delete(rg.astray, flowName(pk.src, pk.dst))
+}
+
+// judgeAstray judges the packets of a flow that has got no answer (rule FLOW, b).
+func (rg *rig) judgeAstray(fl *flow) {
+	rg.mu.Lock()
+	owner, other, astray := rg.owners[fl.name()], rg.foreign[fl.name()], rg.astray[fl.name()]
+	rg.mu.Unlock()
+	if owner == nil || other == owner || len(astray) < 3 || time.Since(astray[0]) < reorderTime {
+		return
+	}
+	rg.broken("FLOW: flow %s is open at server %s, which lives; for %.1f s, %d packets of it reached server %s and none its own",
+		fl.name(), owner.id, time.Since(astray[0]).Seconds(), len(astray), other.id)
 }
 
 // noteRun records that a server runs a request.
--- a/review/jpreview2/server.go
+++ b/review/jpreview2/server.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -31,6 +32,10 @@
 	maxRetries  = 8 // retransmissions of a server before it gives up
 )
 
+// halfOpenIgnored says that a server keeps silent about packets of a flow of which it has
+// only the SYN, instead of treating it as one that it does not hold.
+var halfOpenIgnored = os.Getenv("HALF_OPEN") == "ignore"
+
 // retryAfter returns the time from a transmission to the next one.
 func retryAfter(retries int) time.Duration {
 	return min(200*time.Millisecond<<retries, 1600*time.Millisecond)
@@ -179,7 +184,10 @@
 		sv.drop(key, fl)
 	case fl == nil || !fl.open && pk.ack != fl.seq:
 		// The flow is not open here, so the packet is of a flow that this server does not hold.
-		sv.rig.noteReset(sv, pk)
+		sv.rig.noteForeign(sv, pk)
+		if fl != nil && halfOpenIgnored {
+			return
+		}
 		sv.send(&serverFlow{peer: pk.src, route: pk.dst, echo: pk.echo}, packet{seq: pk.ack, flags: flagRST})
 	default:
 		if !fl.open {
@@ -187,6 +195,7 @@
 			sv.rig.noteOpen(sv, pk)
 		}
 		fl.echo = pk.echo
+		sv.rig.noteOwn(pk)
 		sv.handleOpen(key, fl, pk)
 	}
 }
--- a/review/jpreview2/stray.go
+++ b/review/jpreview2/stray.go
@@ -56,6 +56,30 @@
 // counts are the results of the requests of a case.
 type counts struct{ answered, refused, reset, unanswered atomic.Int64 }
 
+// startUsers starts users of the consumers of each zone, in the order of the zones. The
+// function that it returns ends them.
+func (rg *rig) startUsers(ctx context.Context, counted ...int) (*counts, func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	ct := new(counts)
+	var users sync.WaitGroup
+	for zone, count := range counted {
+		for ix := range count {
+			users.Go(func() { rg.use(ctx, rg.consumers[2*zone+ix%2], 1000*zone+ix, ct) })
+		}
+	}
+	return ct, func() {
+		cancel()
+		users.Wait()
+	}
+}
+
+func (rg *rig) logCounts(ct *counts) {
+	rg.mu.Lock()
+	defer rg.mu.Unlock()
+	rg.logLocked("requests: %d answered, %d flows refused, %d reset, %d without an answer; %d datagrams lost",
+		ct.answered.Load(), ct.refused.Load(), ct.reset.Load(), ct.unanswered.Load(), rg.lost)
+}
+
 // use keeps flows open and sends requests on them, with pauses, until ctx ends.
 func (rg *rig) use(ctx context.Context, cs *consumer, number int, ct *counts) {
 	for ctx.Err() == nil {
@@ -87,6 +111,7 @@
 		case err != nil:
 			ct.unanswered.Add(1)
 			rg.logf("request %s %s on %s: sent, run by %v, no answer in time", id, method, fl.name(), rg.runsOf(id))
+			rg.judgeAstray(fl)
 			fl.forget()
 			return
 		case headerText(answer, "X-Jacinthpass-Request-Id") != id:
@@ -115,13 +140,8 @@
 	if err != nil {
 		return rg, err
 	}
-	useCtx, stop := context.WithCancel(ctx)
+	ct, stop := rg.startUsers(ctx, 80, 80, 80)
 	defer stop()
-	var ct counts
-	var users sync.WaitGroup
-	for ix := range 240 {
-		users.Go(func() { rg.use(useCtx, rg.consumers[ix%len(rg.consumers)], ix, &ct) })
-	}
 	time.Sleep(5 * time.Second)
 	rg.setLoss(lossShare)
 	time.Sleep(8 * time.Second)
@@ -140,8 +160,6 @@
 	restarts.Wait()
 	time.Sleep(8 * time.Second)
 	stop()
-	users.Wait()
-	rg.logf("requests: %d answered, %d flows refused, %d reset, %d without an answer; %d datagrams lost",
-		ct.answered.Load(), ct.refused.Load(), ct.reset.Load(), ct.unanswered.Load(), rg.lost)
+	rg.logCounts(ct)
 	return rg, nil
 }
