--- a/review/jpreview2/instance.go
+++ b/review/jpreview2/instance.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/netip"
@@ -68,6 +69,9 @@
 
 // start starts the process as the deploy file does.
 func (in *instance) start(first bool) error {
+	if in.rig.ended.Load() {
+		return errEnded
+	}
 	if err := in.writeSettings(first); err != nil {
 		return err
 	}
@@ -111,6 +115,9 @@
 	}
 }
 
+// errEnded says that the case was broken off.
+var errEnded = errors.New("the case has ended")
+
 const (
 	graceTime    = 6 * time.Second
 	restartDelay = 300 * time.Millisecond
--- a/review/jpreview2/main.go
+++ b/review/jpreview2/main.go
@@ -21,8 +21,12 @@
 	"stray": playStray,
 }
 
-// timeLimit bounds a case.
-const timeLimit = 115 * time.Second
+const (
+	// timeLimit bounds a case.
+	timeLimit = 110 * time.Second
+	// endTime is for the processes of a case that was broken off, which then are killed.
+	endTime = time.Second
+)
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
@@ -42,13 +46,26 @@
 	defer stop()
 	ctx, cancel := context.WithTimeout(ctx, timeLimit)
 	defer cancel()
-	rg, err := cases[name](ctx, root, filepath.Join(folder, "record.txt"), os.Getenv("TROUBLE") != "0")
-	if rg != nil {
-		defer rg.close()
+	type result struct {
+		rig *rig
+		err error
 	}
-	if err == nil {
+	ended := make(chan result, 1)
+	go func() {
+		rg, err := cases[name](ctx, root, filepath.Join(folder, "record.txt"), os.Getenv("TROUBLE") != "0")
+		ended <- result{rg, err}
+	}()
+	var rg *rig
+	select {
+	case res := <-ended:
+		rg, err = res.rig, res.err
+	case <-ctx.Done():
+		time.Sleep(endTime)
 		err = ctx.Err()
 	}
+	if rg != nil {
+		defer rg.close()
+	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, name+":", err)
 		return 2
--- a/review/jpreview2/rig.go
+++ b/review/jpreview2/rig.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"jacinthpass/lab/jpplatform"
@@ -48,6 +49,7 @@
 	warmup    float64 // warmupPerS of the services
 	loss      float64 // share of the datagrams of servers that are lost
 
+	ended   atomic.Bool // no more processes are started
 	mu      sync.Mutex
 	began   time.Time
 	record  *os.File
@@ -173,6 +175,13 @@
 
 // startInstances starts all processes and the platform's readiness checks.
 func (rg *rig) startInstances(ctx context.Context) error {
+	context.AfterFunc(ctx, func() {
+		rg.ended.Store(true)
+		for _, in := range rg.instances {
+			in.kill()
+		}
+		_ = os.RemoveAll(rg.dir)
+	})
 	for _, in := range rg.instances {
 		if err := in.start(true); err != nil {
 			return err
@@ -195,7 +204,7 @@
 			return nil
 		}
 	}
-	return fmt.Errorf("the instances were not ready in %s; their logs are in %s", limit, rg.dir)
+	return fmt.Errorf("the instances were not ready in %s", limit)
 }
 
 // close ends everything that the rig has started.
@@ -205,9 +214,7 @@
 		in.log.Close()
 	}
 	rg.store.Close()
-	if os.Getenv("KEEP") == "" {
-		_ = os.RemoveAll(rg.dir)
-	}
+	_ = os.RemoveAll(rg.dir)
 	rg.record.Close()
 }
 
