--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins that the cases 6 to 10 start. The program itself is built by the line
+# Builds the stand-ins that the cases 6 and 7 start. The program itself is built by the line
 # of deploy/system.toml.
 set -euo pipefail
 cd "$(dirname "$0")/.."
--- a/review/jpreview2/instance.go
+++ b/review/jpreview2/instance.go
@@ -18,19 +18,18 @@
 
 // instance is a machine that runs the program of the deploy file.
 type instance struct {
-	rig     *rig
-	name    string
-	zone    string
-	ip      netip.Addr
-	store   netip.AddrPort // at which it reaches the platform's store
-	path    string         // of its settings file
-	log     *os.File
-	cmd     *exec.Cmd
-	done    chan struct{}
-	misses  int          // readiness checks that failed in a row
-	inTurn  atomic.Bool  // in rotation
-	probed  atomic.Int64 // Unix ns of the begin of the latest readiness check
-	started time.Time
+	rig    *rig
+	name   string
+	zone   string
+	ip     netip.Addr
+	store  netip.AddrPort // at which it reaches the platform's store
+	path   string         // of its settings file
+	log    *os.File
+	cmd    *exec.Cmd
+	done   chan struct{}
+	misses int          // readiness checks that failed in a row
+	inTurn atomic.Bool  // in rotation
+	probed atomic.Int64 // Unix ns of the begin of the latest readiness check
 }
 
 // settings writes the settings file.
@@ -83,7 +82,7 @@
 		return err
 	}
 	done := make(chan struct{})
-	in.cmd, in.done, in.started = cmd, done, time.Now()
+	in.cmd, in.done = cmd, done
 	go func() {
 		_ = cmd.Wait() // how it ended is in the log
 		close(done)
--- a/review/jpreview2/main.go
+++ b/review/jpreview2/main.go
@@ -16,7 +16,6 @@
 
 // cases are the scripted cases by name. A case returns an error if it could not run.
 var cases = map[string]func(ctx context.Context, root, record string, trouble bool) (*rig, error){
-	"move":  playMove,
 	"pause": playPause,
 	"stray": playStray,
 }
--- a/review/jpreview2/server.go
+++ b/review/jpreview2/server.go
@@ -61,7 +61,6 @@
 	state    string
 	sequence int
 	flows    map[string]*serverFlow
-	syns     []time.Time // arrivals of the opening packets of flows
 }
 
 // serverFlow is a flow that a server holds.
@@ -169,7 +168,6 @@
 		if fl == nil {
 			fl = &serverFlow{peer: pk.src, route: pk.dst, seq: rand.Uint32(), ack: pk.seq + 1}
 			sv.flows[key] = fl
-			sv.syns = append(sv.syns, time.Now())
 			sv.rig.noteSYN(sv, pk)
 			fl.echo = pk.echo
 			fl.seq++
