--- a/core/jpdirectory/directory.go
+++ b/core/jpdirectory/directory.go
@@ -30,6 +30,7 @@
 type Update struct {
 	Records   []Record
 	Revision  uint64    // the update contains all changes up to this revision
+	Era       uint64    // number of times that the store had been restored from a copy, if it comes from the store
 	Full      bool      // keys without a record in the update do not exist
 	CurrentAt time.Time // time at which Revision was the store's latest
 }
@@ -80,6 +81,32 @@
 	return changed
 }
 
+// Ignored returns the records of an update that Apply would ignore because their revisions
+// are known, although a record with that revision should be the same.
+func (dr *Directory) Ignored(up Update) []Record {
+	var list []Record
+	for _, rc := range up.Records {
+		known, ok := dr.records[rc.Key]
+		if ok && (rc.Revision < known.Revision || rc.Revision == known.Revision && !sameState(rc, known)) {
+			list = append(list, rc)
+		}
+	}
+	return list
+}
+
+// sameState reports whether two records of a key agree in what the store's clients decide by.
+func sameState(one, two Record) bool {
+	switch {
+	case one.Manifest != nil && two.Manifest != nil:
+		return one.Manifest.Version == two.Manifest.Version
+	case one.Server != nil && two.Server != nil:
+		first, second := *one.Server, *two.Server
+		first.WarmAt, second.WarmAt = time.Time{}, time.Time{} // depends on when it was read
+		return first == second
+	}
+	return one.Removed() == two.Removed()
+}
+
 func (dr *Directory) applyRecord(now time.Time, rc Record) bool {
 	known, ok := dr.records[rc.Key]
 	if ok && rc.Revision <= known.Revision {
--- a/io/jpentry/changes.go
+++ b/io/jpentry/changes.go
@@ -106,6 +106,23 @@
 	}
 }
 
+// logIgnored logs the records of an update from the store that the directory ignores. The
+// caller holds mu.
+func (en *Entry) logIgnored(up jpdirectory.Update) {
+	ignored := en.directory.Ignored(up)
+	if len(ignored) == 0 {
+		return
+	}
+	en.metrics.ignoredRecords.Add(uint64(len(ignored)))
+	for _, rc := range ignored[:min(len(ignored), maxLinesPerUpdate)] {
+		keysAndValues := []any{"name", rc.Key.Name, "revision", rc.Revision, "era", up.Era, "ignored", len(ignored)}
+		if rc.Manifest != nil {
+			keysAndValues = append(keysAndValues, "version", rc.Manifest.Version)
+		}
+		klog.InfoS("directory: record ignored", keysAndValues...)
+	}
+}
+
 // logRecordChange logs a changed record of the directory, unless it is that of a
 // present instance, and adds changes of routes and data centres to the timeline.
 func (en *Entry) logRecordChange(rc jpdirectory.Record, source string) {
--- a/io/jpentry/entry.go
+++ b/io/jpentry/entry.go
@@ -94,6 +94,7 @@
 type storeHealth struct {
 	upSince      time.Time // since when it has answered without interruption; zero while it does not answer
 	lastResponse time.Time // time of the last response
+	era          uint64    // of the last response
 }
 
 // peerStatus is the latest status message of a peer, with its durations converted
--- a/io/jpentry/metrics.go
+++ b/io/jpentry/metrics.go
@@ -38,6 +38,8 @@
 	sendErrors      atomic.Uint64
 	storeErrors     atomic.Uint64
 	storeCalls      atomic.Uint64
+	storeEra        atomic.Uint64
+	ignoredRecords  atomic.Uint64 // of the store, see logIgnored
 	checksByResult  [jpdispatch.CheckResults]atomic.Uint64
 	flows           atomic.Int64
 	servers         atomic.Int64
@@ -143,6 +145,7 @@
 		{"send_errors_total", &mt.sendErrors},
 		{"store_errors_total", &mt.storeErrors},
 		{"store_calls_total", &mt.storeCalls},
+		{"ignored_records_total", &mt.ignoredRecords},
 		{"tag_differs_packets_total", &mt.tagDiffers},
 	} {
 		reportCounter(ct.name, nil, "", ct.from.Load())
@@ -185,6 +188,7 @@
 	scope.Gauge("failing_servers").Update(float64(mt.failingServers.Load()))
 	scope.Gauge("slow_servers").Update(float64(mt.slowServers.Load()))
 	scope.Gauge("directory_revision").Update(float64(mt.revision.Load()))
+	scope.Gauge("store_era").Update(float64(mt.storeEra.Load()))
 	mt.flushServices(scope)
 }
 
--- a/io/jpentry/settings.go
+++ b/io/jpentry/settings.go
@@ -75,6 +75,7 @@
 type Page struct {
 	Records  []jpdirectory.Record
 	Revision uint64 // of the store; records may be newer
+	Era      uint64 // of the store
 	Next     string // key after which the next page begins; empty after the last
 }
 
--- a/io/jpentry/sync.go
+++ b/io/jpentry/sync.go
@@ -146,7 +146,7 @@
 			return jpdirectory.Update{}, err
 		}
 		if fr.update.Revision == 0 {
-			fr.update.Revision = page.Revision
+			fr.update.Revision, fr.update.Era = page.Revision, page.Era
 		}
 		fr.update.Records = append(fr.update.Records, page.Records...)
 		fr.after = page.Next
@@ -215,12 +215,20 @@
 		up.CurrentAt = respondedAt
 	}
 	if en.storeHealth.upSince.IsZero() {
-		klog.InfoS("store: reachable", "revision", up.Revision, "full", up.Full)
+		klog.InfoS("store: reachable", "era", up.Era, "revision", up.Revision, "full", up.Full)
 		en.timeline.Add("store", "store_reachable", "", "")
 	}
 	if en.storeHealth.upSince.IsZero() || respondedAt.Sub(en.storeHealth.lastResponse) >= staleAfter {
 		en.storeHealth.upSince = respondedAt // nothing is known of the time since lastResponse
 	}
+	if up.Era != en.storeHealth.era && !en.storeHealth.lastResponse.IsZero() {
+		klog.InfoS("store: restored", "era", up.Era, "known_era", en.storeHealth.era, "revision", up.Revision,
+			"known_revision", en.directory.Revision(), "full", up.Full)
+		en.timeline.Add("store", "store_restored", "", "")
+	}
+	en.storeHealth.era = up.Era
+	en.metrics.storeEra.Store(up.Era)
+	en.logIgnored(up)
 	en.storeHealth.lastResponse = respondedAt
 	en.watchDuty.Responded(respondedAt)
 	en.requestLimiter.StoreResponded()
