--- a/lab/jpplatform/store.go
+++ b/lab/jpplatform/store.go
@@ -1,6 +1,7 @@
 package jpplatform
 
 import (
+	"bytes"
 	"encoding/json"
 	"maps"
 	"net"
@@ -28,6 +29,9 @@
 	leaseCount  uint64
 	changed     chan struct{} // closed at the next change
 	unavailable bool
+
+	era     uint64            // rises each time the store is restored from a copy
+	written map[string][]byte // values of the keys that operators and servers have written, nil if removed
 }
 
 // storeItem is the value of a key, or with Tombstone its removal.
@@ -48,7 +52,7 @@
 	}
 	st := &Store{
 		Address: listener.Addr().(*net.TCPAddr).AddrPort(), items: map[string]storeItem{},
-		leases: map[uint64]time.Time{}, changed: make(chan struct{}), revision: 1,
+		leases: map[uint64]time.Time{}, changed: make(chan struct{}), revision: 1, era: 1, written: map[string][]byte{},
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /kv-range", st.handleRange)
@@ -94,6 +98,7 @@
 func (st *Store) PutRaw(key string, text []byte) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
+	st.written[key] = text
 	st.put(storeItem{Key: key, Value: text})
 }
 
@@ -101,9 +106,66 @@
 func (st *Store) Remove(key string) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
+	st.written[key] = nil
 	st.remove(key)
 }
 
+// StoreCopy is a copy of a store's contents.
+type StoreCopy struct {
+	items      map[string]storeItem
+	history    []storeItem
+	revision   uint64
+	leases     map[uint64]time.Time
+	leaseCount uint64
+}
+
+// Copy returns a copy of the store's contents, for Restore.
+func (st *Store) Copy() StoreCopy {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.expire()
+	return StoreCopy{maps.Clone(st.items), slices.Clone(st.history), st.revision, maps.Clone(st.leases), st.leaseCount}
+}
+
+// Restore replaces the contents by an earlier copy. What was written since is lost, and
+// revisions and leases are given out again. Waiting watches are notified.
+func (st *Store) Restore(cp StoreCopy) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.era++
+	st.items, st.history, st.revision = maps.Clone(cp.items), slices.Clone(cp.history), cp.revision
+	st.leases, st.leaseCount = maps.Clone(cp.leases), cp.leaseCount
+	st.notifyWatchers()
+}
+
+// LostKeys returns the keys that differ from what operators and servers have written,
+// because the store was restored, in order.
+func (st *Store) LostKeys() []string {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	var keys []string
+	for key, value := range st.written {
+		it, ok := st.items[key]
+		if ok != (value != nil) || ok && !bytes.Equal(it.Value, value) {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// Rewrite writes a key again as its writer last did.
+func (st *Store) Rewrite(key string) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	value := st.written[key]
+	if value == nil {
+		st.remove(key)
+		return
+	}
+	st.put(storeItem{Key: key, Value: value})
+}
+
 // Keys returns the keys with a prefix.
 func (st *Store) Keys(prefix string) []string {
 	st.mu.Lock()
@@ -166,10 +228,15 @@
 	}
 }
 
+// stampEra adds the store's era to a response. The caller must hold mu.
+func (st *Store) stampEra(wr http.ResponseWriter) {
+	wr.Header().Set("Store-Era", strconv.FormatUint(st.era, 10))
+}
+
 // rejectIfUnavailable answers requests with 503 while the store is unavailable.
 func (st *Store) rejectIfUnavailable(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(wr http.ResponseWriter, req *http.Request) {
-		if st.isUnavailable() {
+		if st.isUnavailable(wr) {
 			http.Error(wr, "away", http.StatusServiceUnavailable)
 			return
 		}
@@ -177,9 +244,11 @@
 	})
 }
 
-func (st *Store) isUnavailable() bool {
+// isUnavailable reports whether the store is unavailable, and adds the era to the response.
+func (st *Store) isUnavailable(wr http.ResponseWriter) bool {
 	st.mu.Lock()
 	defer st.mu.Unlock()
+	st.stampEra(wr)
 	return st.unavailable
 }
 
@@ -191,6 +260,7 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.expire()
+	st.stampEra(wr)
 	prefix, after := req.URL.Query().Get("prefix"), req.URL.Query().Get("after")
 	items := []storeItem{}
 	truncated := false
@@ -220,10 +290,11 @@
 		st.mu.Lock()
 		st.expire()
 		events, known := st.since(query.Get("prefix"), after)
-		revision, changed := st.revision, st.changed
+		revision, changed, unavailable := st.revision, st.changed, st.unavailable
+		st.stampEra(wr)
 		st.mu.Unlock()
 		switch {
-		case st.isUnavailable():
+		case unavailable:
 			http.Error(wr, "away", http.StatusServiceUnavailable)
 			return
 		case !known:
@@ -251,7 +322,7 @@
 // since returns the changes of keys with a prefix after a revision, or false if
 // the history does not reach back that far.
 func (st *Store) since(prefix string, after uint64) ([]storeItem, bool) {
-	if after < st.revision && (len(st.history) == 0 || st.history[0].Revision > after+1) {
+	if after > st.revision || after < st.revision && (len(st.history) == 0 || st.history[0].Revision > after+1) {
 		return nil, false
 	}
 	var events []storeItem
@@ -273,6 +344,7 @@
 	}
 	st.mu.Lock()
 	defer st.mu.Unlock()
+	st.stampEra(wr)
 	st.expire()
 	for _, it := range body.Puts {
 		if _, ok := st.leases[it.Lease]; it.Lease != 0 && !ok {
@@ -296,6 +368,7 @@
 	}
 	st.mu.Lock()
 	defer st.mu.Unlock()
+	st.stampEra(wr)
 	st.leaseCount++
 	id := st.leaseCount
 	st.leases[id] = time.Now().Add(time.Duration(body.TTLMs) * time.Millisecond)
@@ -307,6 +380,7 @@
 	id, err := strconv.ParseUint(req.PathValue("id"), 10, 64)
 	st.mu.Lock()
 	defer st.mu.Unlock()
+	st.stampEra(wr)
 	st.expire()
 	if _, ok := st.leases[id]; err != nil || !ok {
 		http.Error(wr, "lease", http.StatusNotFound)
--- a/test/platform_test.go
+++ b/test/platform_test.go
@@ -255,6 +255,64 @@
 	}
 }
 
+// Guards against changes that are ignored, or never read, because a store restored from a
+// copy has given out their revisions before.
+func TestPlatformChangeAfterRestore(t *testing.T) {
+	added := netip.MustParseAddrPort("198.18.0.9:8443")
+	withAdded := append(jpplatform.StandardRoutes(), jpplatform.Route{Address: added, Kind: "safe", Backend: "catalogue"})
+	serveAdded := func(t *testing.T, si *jpplatform.Site) { openFlows(t, si, added, 9) }
+	avoidServer := func(t *testing.T, si *jpplatform.Site) {
+		server := si.Servers[0]
+		opened := server.FlowCount()
+		openFlows(t, si, jpplatform.AlertRoute, 30)
+		if more := server.FlowCount() - opened; more > 0 {
+			t.Errorf("%d new flows reached %s", more, server.ID)
+		}
+	}
+	rows := []struct {
+		name   string
+		unread bool // the change comes before an instance has read the restored store
+		bound  time.Duration
+		change func(si *jpplatform.Site)
+		check  func(t *testing.T, si *jpplatform.Site)
+	}{
+		{"route", false, platformChangeBound, func(si *jpplatform.Site) { si.SetRoutes(withAdded...) }, serveAdded},
+		{"route before the first read", true, platformChangeBound, func(si *jpplatform.Site) { si.SetRoutes(withAdded...) }, serveAdded},
+		{"draining", true, platformChangeBound, func(si *jpplatform.Site) { si.PutDraining(si.Servers[0]) }, avoidServer},
+		{"out", false, platformRemovalBound, func(si *jpplatform.Site) { si.SetEvacuated(si.Servers[0].Entry.Zone, true) }, avoidServer},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			si := startPlatform(t)
+			eventually(t, "all instances registered", func() bool {
+				return len(si.Store.Keys("jacinthpass/instances/")) == len(si.Instances)
+			})
+			earlier := si.Store.Copy()
+			for range 2 {
+				si.SetRoutes(jpplatform.StandardRoutes()...)
+				si.PutEntry(si.Servers[0])
+			}
+			time.Sleep(platformChangeBound)
+			si.Store.SetUnavailable(true)
+			time.Sleep(300 * time.Millisecond)
+			si.Store.Restore(earlier)
+			for _, key := range si.Store.LostKeys() {
+				si.Store.Rewrite(key)
+			}
+			if !row.unread {
+				si.Store.SetUnavailable(false)
+				time.Sleep(platformChangeBound)
+			}
+			row.change(si)
+			si.PutEntry(si.Servers[1]) // reaches the last revision before the restore
+			si.PutEntry(si.Servers[1])
+			si.Store.SetUnavailable(false)
+			time.Sleep(row.bound)
+			row.check(t, si)
+		})
+	}
+}
+
 // Guards against new flows that fail because a server has crashed, against open flows
 // of a crashed server that are not reset, and against requests that are executed twice.
 func TestPlatformServerFails(t *testing.T) {
