--- a/core/jpdirectory/directory.go
+++ b/core/jpdirectory/directory.go
@@ -12,12 +12,13 @@
 const tombstoneTTL = 2 * time.Minute
 
 // Directory holds the latest known record of each key. Its revision and the
-// version of its manifest never decrease. It is not safe for concurrent use.
+// version of its manifest never decrease. The records are those of one era of the store;
+// the manifest may be of an earlier one. It is not safe for concurrent use.
 type Directory struct {
 	records        map[Key]Record
 	tombstones     map[Key]time.Time // when the tombstone may be purged, by key
-	revision       uint64
-	purgedRevision uint64    // tombstones up to this revision may have been purged
+	revision       Revision
+	purgedRevision Revision  // tombstones up to this revision may have been purged
 	currentAt      time.Time // latest time at which the records were the store's latest
 }
 
@@ -29,25 +30,24 @@
 // Update holds changes of the store's contents, or all of the contents.
 type Update struct {
 	Records   []Record
-	Revision  uint64    // the update contains all changes up to this revision
-	Era       uint64    // number of times that the store had been restored from a copy, if it comes from the store
+	Revision  Revision  // the update contains all changes up to this revision
 	Full      bool      // keys without a record in the update do not exist
 	CurrentAt time.Time // time at which Revision was the store's latest
 }
 
 // Populated reports whether the directory has ever been filled.
-func (dr *Directory) Populated() bool { return dr.revision > 0 }
+func (dr *Directory) Populated() bool { return !dr.revision.IsZero() }
 
 // Revision returns the revision up to which all changes are known.
-func (dr *Directory) Revision() uint64 { return dr.revision }
+func (dr *Directory) Revision() Revision { return dr.revision }
 
 // CurrentAt returns the latest time at which the records were up to date.
 func (dr *Directory) CurrentAt() time.Time { return dr.currentAt }
 
 // Confirm records that revision was the store's latest one at the time currentAt.
 // It has no effect if the directory's revision is lower.
-func (dr *Directory) Confirm(revision uint64, currentAt time.Time) {
-	if revision <= dr.revision && currentAt.After(dr.currentAt) {
+func (dr *Directory) Confirm(revision Revision, currentAt time.Time) {
+	if !revision.After(dr.revision) && currentAt.After(dr.currentAt) {
 		dr.currentAt = currentAt
 	}
 }
@@ -61,6 +61,11 @@
 // revisions. A partial update that starts after the directory's revision must not
 // be applied, because the changes in between would be missing; see Since.
 func (dr *Directory) Apply(now time.Time, up Update) []Record {
+	if up.Revision.Before(dr.revision) {
+		// All changes up to a later revision are known, removals among them that were
+		// never seen here or that the store has lost.
+		return nil
+	}
 	var changed []Record
 	contained := map[Key]bool{}
 	for _, rc := range up.Records {
@@ -72,12 +77,12 @@
 	if up.Full {
 		changed = append(changed, dr.removeMissing(now, up.Revision, contained)...)
 	}
-	dr.revision = max(dr.revision, up.Revision)
-	if up.CurrentAt.After(dr.currentAt) && up.Revision >= dr.revision {
+	dr.revision = up.Revision
+	if up.CurrentAt.After(dr.currentAt) {
 		dr.currentAt = up.CurrentAt
 	}
 	dr.purgeTombstones(now)
-	slices.SortFunc(changed, func(a, b Record) int { return cmp.Compare(a.Revision, b.Revision) })
+	slices.SortFunc(changed, func(a, b Record) int { return a.Revision.Compare(b.Revision) })
 	return changed
 }
 
@@ -87,7 +92,7 @@
 	var list []Record
 	for _, rc := range up.Records {
 		known, ok := dr.records[rc.Key]
-		if ok && (rc.Revision < known.Revision || rc.Revision == known.Revision && !sameState(rc, known)) {
+		if ok && (rc.Revision.Before(known.Revision) || rc.Revision == known.Revision && !sameState(rc, known)) {
 			list = append(list, rc)
 		}
 	}
@@ -109,14 +114,14 @@
 
 func (dr *Directory) applyRecord(now time.Time, rc Record) bool {
 	known, ok := dr.records[rc.Key]
-	if ok && rc.Revision <= known.Revision {
+	if ok && !rc.Revision.After(known.Revision) {
 		return false
 	}
 	// A manifest is replaced but never removed.
 	if lowersVersion(rc.Manifest, known.Manifest) || rc.Key.Kind == ManifestRecord && rc.Removed() {
 		return false
 	}
-	if !ok && rc.Removed() && rc.Revision <= dr.purgedRevision {
+	if !ok && rc.Removed() && !rc.Revision.After(dr.purgedRevision) {
 		return false
 	}
 	dr.records[rc.Key] = rc
@@ -134,10 +139,10 @@
 
 // removeMissing removes the keys that a full update does not contain. Keys that
 // changed after the update's revision stay.
-func (dr *Directory) removeMissing(now time.Time, revision uint64, contained map[Key]bool) []Record {
+func (dr *Directory) removeMissing(now time.Time, revision Revision, contained map[Key]bool) []Record {
 	var changed []Record
 	for key, known := range dr.records {
-		if contained[key] || known.Removed() || known.Revision > revision || key.Kind == ManifestRecord {
+		if contained[key] || known.Removed() || known.Revision.After(revision) || key.Kind == ManifestRecord {
 			continue
 		}
 		tombstone := Record{Key: key, Revision: revision}
@@ -154,23 +159,25 @@
 		if now.Before(until) {
 			continue
 		}
-		dr.purgedRevision = max(dr.purgedRevision, dr.records[key].Revision)
+		dr.purgedRevision = latest(dr.purgedRevision, dr.records[key].Revision)
 		delete(dr.records, key)
 		delete(dr.tombstones, key)
 	}
 }
 
-// Since returns the changes after a revision. The update is full if the revision
-// is 0, or if tombstones after it may have been purged.
-func (dr *Directory) Since(revision uint64) Update {
-	up := Update{Revision: dr.revision, CurrentAt: dr.currentAt, Full: revision < dr.purgedRevision || revision == 0}
+// Since returns the changes after a revision. The update is full if the revision is zero
+// or of an earlier era, of which the store has lost changes, or if tombstones after it may
+// have been purged.
+func (dr *Directory) Since(revision Revision) Update {
+	up := Update{Revision: dr.revision, CurrentAt: dr.currentAt}
+	up.Full = revision.IsZero() || revision.Era < dr.revision.Era || revision.Before(dr.purgedRevision)
 	for _, rc := range dr.records {
-		if up.Full && !rc.Removed() || !up.Full && rc.Revision > revision {
+		if up.Full && !rc.Removed() || !up.Full && rc.Revision.After(revision) {
 			up.Records = append(up.Records, rc)
 		}
 	}
 	slices.SortFunc(up.Records, func(a, b Record) int {
-		return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(a.Key.Name, b.Key.Name))
+		return cmp.Or(a.Revision.Compare(b.Revision), cmp.Compare(a.Key.Name, b.Key.Name))
 	})
 	return up
 }
--- a/core/jpdirectory/directory_test.go
+++ b/core/jpdirectory/directory_test.go
@@ -13,27 +13,38 @@
 
 func atSecond(sec int) time.Time { return start.Add(time.Duration(sec) * time.Second) }
 
+// rv returns a revision of the first era.
+func rv(number uint64) Revision { return Revision{Era: 1, Number: number} }
+
 func server(id string, revision uint64) Record {
-	return Record{Key: Key{ServerRecord, id}, Revision: revision, Server: &Server{ID: id}}
+	return Record{Key: Key{ServerRecord, id}, Revision: rv(revision), Server: &Server{ID: id}}
 }
 
 func removal(id string, revision uint64) Record {
-	return Record{Key: Key{ServerRecord, id}, Revision: revision}
+	return Record{Key: Key{ServerRecord, id}, Revision: rv(revision)}
 }
 
 func manifest(version, revision uint64) Record {
-	return Record{Key: Key{Kind: ManifestRecord}, Revision: revision, Manifest: &Manifest{Version: version}}
+	return Record{Key: Key{Kind: ManifestRecord}, Revision: rv(revision), Manifest: &Manifest{Version: version}}
+}
+
+func ExampleRevision_After() {
+	before := Revision{Era: 1, Number: 30}
+	restored := Revision{Era: 2, Number: 29}
+	fmt.Println(restored, "after", before, restored.After(before))
+	// Output:
+	// 2/29 after 1/30 true
 }
 
 func ExampleDirectory_Since() {
 	dr := New()
-	dr.Apply(atSecond(0), Update{Full: true, Revision: 10, Records: []Record{server("i-1", 4), server("i-2", 10)}})
-	dr.Apply(atSecond(1), Update{Revision: 12, Records: []Record{removal("i-1", 12)}})
-	for _, rc := range dr.Since(10).Records {
+	dr.Apply(atSecond(0), Update{Full: true, Revision: rv(10), Records: []Record{server("i-1", 4), server("i-2", 10)}})
+	dr.Apply(atSecond(1), Update{Revision: rv(12), Records: []Record{removal("i-1", 12)}})
+	for _, rc := range dr.Since(rv(10)).Records {
 		fmt.Println(rc.Key.Name, rc.Revision, rc.Removed())
 	}
 	// Output:
-	// i-1 12 true
+	// i-1 1/12 true
 }
 
 // Guards against updates that arrive late or twice and revert a record, and
@@ -46,29 +57,29 @@
 		version uint64
 	}{
 		{"older record", []Update{
-			{Revision: 5, Records: []Record{removal("i-1", 5), manifest(3, 4)}},
-			{Revision: 4, Records: []Record{server("i-1", 3), manifest(2, 2)}},
+			{Revision: rv(5), Records: []Record{removal("i-1", 5), manifest(3, 4)}},
+			{Revision: rv(4), Records: []Record{server("i-1", 3), manifest(2, 2)}},
 		}, nil, 3},
 		{"removed record returns", []Update{
-			{Revision: 5, Records: []Record{server("i-1", 3), manifest(3, 4)}},
-			{Revision: 6, Records: []Record{removal("i-1", 6)}},
-			{Revision: 7, Records: []Record{server("i-1", 7)}},
+			{Revision: rv(5), Records: []Record{server("i-1", 3), manifest(3, 4)}},
+			{Revision: rv(6), Records: []Record{removal("i-1", 6)}},
+			{Revision: rv(7), Records: []Record{server("i-1", 7)}},
 		}, []string{"i-1"}, 3},
 		{"full update lacks a record", []Update{
-			{Revision: 5, Full: true, Records: []Record{server("i-1", 3), server("i-2", 4), manifest(3, 5)}},
-			{Revision: 8, Full: true, Records: []Record{server("i-2", 4)}},
+			{Revision: rv(5), Full: true, Records: []Record{server("i-1", 3), server("i-2", 4), manifest(3, 5)}},
+			{Revision: rv(8), Full: true, Records: []Record{server("i-2", 4)}},
 		}, []string{"i-2"}, 3},
 		{"full update that is older", []Update{
-			{Revision: 9, Records: []Record{server("i-1", 9), manifest(3, 5)}},
-			{Revision: 8, Full: true},
+			{Revision: rv(9), Records: []Record{server("i-1", 9), manifest(3, 5)}},
+			{Revision: rv(8), Full: true},
 		}, []string{"i-1"}, 3},
 		{"manifest that is removed", []Update{
-			{Revision: 5, Records: []Record{manifest(9, 5)}},
-			{Revision: 6, Records: []Record{{Key: Key{Kind: ManifestRecord}, Revision: 6}}},
+			{Revision: rv(5), Records: []Record{manifest(9, 5)}},
+			{Revision: rv(6), Records: []Record{{Key: Key{Kind: ManifestRecord}, Revision: rv(6)}}},
 		}, nil, 9},
 		{"manifest of a lower version at a higher revision", []Update{
-			{Revision: 5, Records: []Record{manifest(9, 5)}},
-			{Revision: 6, Records: []Record{manifest(8, 6)}},
+			{Revision: rv(5), Records: []Record{manifest(9, 5)}},
+			{Revision: rv(6), Records: []Record{manifest(8, 6)}},
 		}, nil, 9},
 	}
 	for _, row := range rows {
@@ -77,7 +88,7 @@
 			dr.Apply(atSecond(0), up)
 		}
 		var servers []string
-		for _, rc := range dr.Since(0).Records {
+		for _, rc := range dr.Since(Revision{}).Records {
 			if rc.Server != nil {
 				servers = append(servers, rc.Key.Name)
 			}
@@ -88,14 +99,65 @@
 	}
 }
 
+// Guards against changes that are ignored because a restored store has given out their
+// revisions before, and against records of an earlier era that come back.
+func TestApplyRestored(t *testing.T) {
+	era := func(era, number uint64) Revision { return Revision{Era: era, Number: number} }
+	at := func(rc Record, era uint64) Record {
+		rc.Revision.Era = era
+		return rc
+	}
+	first := Update{Full: true, Revision: era(1, 30), Records: []Record{server("i-1", 10), server("i-2", 30), manifest(9, 29)}}
+	rows := []struct {
+		name    string
+		updates []Update
+		servers []string
+		version uint64
+	}{
+		{"version at a revision given out before", []Update{
+			{Full: true, Revision: era(2, 28), Records: []Record{at(server("i-1", 10), 2), at(manifest(4, 28), 2)}},
+			{Revision: era(2, 29), Records: []Record{at(manifest(11, 29), 2)}},
+		}, []string{"i-1"}, 11},
+		{"removal at a revision given out before", []Update{
+			{Full: true, Revision: era(2, 9), Records: []Record{at(server("i-1", 8), 2), at(server("i-2", 9), 2)}},
+			{Revision: era(2, 10), Records: []Record{at(removal("i-1", 10), 2)}},
+		}, []string{"i-2"}, 9},
+		{"older manifest in the copy", []Update{
+			{Full: true, Revision: era(2, 28), Records: []Record{at(manifest(4, 28), 2)}},
+		}, nil, 9},
+		{"peer that has not read the copy", []Update{
+			{Full: true, Revision: era(2, 28), Records: []Record{at(server("i-1", 10), 2)}},
+			{Full: true, Revision: era(1, 40), Records: []Record{server("i-3", 40)}},
+			{Revision: era(1, 41), Records: []Record{removal("i-1", 41)}},
+		}, []string{"i-1"}, 9},
+	}
+	for _, row := range rows {
+		dr := New()
+		dr.Apply(atSecond(0), first)
+		for _, up := range row.updates {
+			dr.Apply(atSecond(1), up)
+		}
+		up := dr.Since(first.Revision)
+		var servers []string
+		for _, rc := range up.Records {
+			if rc.Server != nil {
+				servers = append(servers, rc.Key.Name)
+			}
+		}
+		if !up.Full || !reflect.DeepEqual(servers, row.servers) || dr.Manifest().Version != row.version {
+			t.Errorf("%s: full %t, servers %v, version %d; want true, %v, %d", row.name, up.Full, servers, dr.Manifest().Version, row.servers, row.version)
+		}
+	}
+}
+
 // Guards against a peer that misses a removal because the tombstone was purged.
 func TestSinceAfterPurge(t *testing.T) {
 	dr := New()
-	dr.Apply(atSecond(0), Update{Revision: 3, Records: []Record{server("i-1", 2), server("i-2", 3)}})
-	dr.Apply(atSecond(0), Update{Revision: 4, Records: []Record{removal("i-1", 4)}})
-	dr.Apply(atSecond(0).Add(tombstoneTTL), Update{Revision: 5, Records: []Record{server("i-3", 5)}})
+	dr.Apply(atSecond(0), Update{Revision: rv(3), Records: []Record{server("i-1", 2), server("i-2", 3)}})
+	dr.Apply(atSecond(0), Update{Revision: rv(4), Records: []Record{removal("i-1", 4)}})
+	dr.Apply(atSecond(0).Add(tombstoneTTL), Update{Revision: rv(5), Records: []Record{server("i-3", 5)}})
 	late := New()
-	late.Apply(atSecond(0), Update{Revision: 3, Records: []Record{server("i-1", 2), server("i-2", 3)}})
+	late.Apply(atSecond(0), Update{Revision: rv(3), Records: []Record{server("i-1", 2), server("i-2", 3)}})
 	up := dr.Since(late.Revision())
 	late.Apply(atSecond(1), up)
 	if !up.Full || !late.records[Key{ServerRecord, "i-1"}].Removed() {
@@ -106,13 +168,13 @@
 // Guards against a directory that is taken for up to date without proof.
 func TestCurrent(t *testing.T) {
 	dr := New()
-	dr.Apply(atSecond(0), Update{Revision: 5, CurrentAt: atSecond(0)})
-	dr.Confirm(6, atSecond(1)) // the peer has a newer revision, so this directory is not up to date
+	dr.Apply(atSecond(0), Update{Revision: rv(5), CurrentAt: atSecond(0)})
+	dr.Confirm(rv(6), atSecond(1)) // the peer has a newer revision, so this directory is not up to date
 	if !dr.CurrentAt().Equal(atSecond(0)) {
 		t.Errorf("CurrentAt %v after a newer revision", dr.CurrentAt())
 	}
-	dr.Confirm(5, atSecond(2))
-	dr.Confirm(4, atSecond(1))
+	dr.Confirm(rv(5), atSecond(2))
+	dr.Confirm(rv(4), atSecond(1))
 	if !dr.CurrentAt().Equal(atSecond(2)) {
 		t.Errorf("CurrentAt %v, want 2 s after the start", dr.CurrentAt())
 	}
@@ -134,16 +196,16 @@
 		one, two := New(), New()
 		for _, dr := range []*Directory{one, two} {
 			seen := rapid.IntRange(0, len(history)).Draw(t, "seen")
-			dr.Apply(atSecond(0), Update{Records: history[:seen], Revision: uint64(seen)})
+			dr.Apply(atSecond(0), Update{Records: history[:seen], Revision: rv(uint64(seen))})
 		}
 		before := one.Revision()
 		one.Apply(atSecond(1), two.Since(one.Revision()))
 		two.Apply(atSecond(1), one.Since(two.Revision()))
-		if one.Revision() < before {
-			t.Fatalf("revision decreased from %d to %d", before, one.Revision())
+		if one.Revision().Before(before) {
+			t.Fatalf("revision decreased from %v to %v", before, one.Revision())
 		}
-		live := func(dr *Directory) map[string]uint64 {
-			list := map[string]uint64{}
+		live := func(dr *Directory) map[string]Revision {
+			list := map[string]Revision{}
 			for key, rc := range dr.records {
 				if !rc.Removed() {
 					list[key.Name] = rc.Revision
--- a/core/jpdirectory/record.go
+++ b/core/jpdirectory/record.go
@@ -30,7 +30,7 @@
 // removed, or its entry in the store is invalid.
 type Record struct {
 	Key      Key
-	Revision uint64
+	Revision Revision
 
 	Manifest      *Manifest
 	Server        *Server
--- a/core/jpdirectory/requests_test.go
+++ b/core/jpdirectory/requests_test.go
@@ -5,6 +5,14 @@
 	"time"
 )
 
+// testRevision returns a revision of the first era, or the zero one.
+func testRevision(number uint64) Revision {
+	if number == 0 {
+		return Revision{}
+	}
+	return rv(number)
+}
+
 // Guards against starting instances that repeatedly request all records from their
 // peers while they read the store themselves.
 func TestRequestLimiter(t *testing.T) {
@@ -62,7 +70,7 @@
 			if st.responded {
 				rl.StoreResponded()
 			}
-			if got := rl.Allow(start.Add(st.at), st.known, st.reported, !st.remote); got != st.want {
+			if got := rl.Allow(start.Add(st.at), testRevision(st.known), testRevision(st.reported), !st.remote); got != st.want {
 				t.Errorf("%s: request after %v: %t, want %t", row.name, st.at, got, st.want)
 			}
 		}
--- a/core/jpdispatch/bench_test.go
+++ b/core/jpdispatch/bench_test.go
@@ -72,7 +72,7 @@
 			for n := 0; b.Loop(); n++ {
 				sr.Draining = n%2 == 0
 				hn.Apply(at(0), []jpdirectory.Record{{
-					Key: jpdirectory.Key{Kind: jpdirectory.ServerRecord, Name: sr.ID}, Revision: uint64(n), Server: &sr,
+					Key: jpdirectory.Key{Kind: jpdirectory.ServerRecord, Name: sr.ID}, Revision: jpdirectory.Revision{Number: uint64(n)}, Server: &sr,
 				}})
 			}
 		})
--- a/core/jpdispatch/harness_test.go
+++ b/core/jpdispatch/harness_test.go
@@ -24,7 +24,7 @@
 type harness struct {
 	*Dispatcher
 	tb       testing.TB
-	revision uint64
+	revision jpdirectory.Revision
 	nextPort uint16
 }
 
@@ -53,7 +53,7 @@
 }
 
 func (hn *harness) apply(now time.Time, rc jpdirectory.Record) {
-	hn.revision++
+	hn.revision.Number++
 	rc.Revision = hn.revision
 	hn.Apply(now, []jpdirectory.Record{rc})
 }
--- a/core/jpdispatch/loadplay_test.go
+++ b/core/jpdispatch/loadplay_test.go
@@ -76,7 +76,7 @@
 	sessions  uint64
 	flows     int
 	silent    bool // no reports of peers arrive
-	revision  uint64
+	revision  jpdirectory.Revision
 	pending   int // requests that count and are not done
 	result    playResult
 }
@@ -196,7 +196,7 @@
 }
 
 func (pl *loadPlay) putRecord(rc jpdirectory.Record) {
-	pl.revision++
+	pl.revision.Number++
 	rc.Revision = pl.revision
 	for _, in := range pl.instances {
 		in.Apply(pl.now, []jpdirectory.Record{rc})
@@ -204,7 +204,7 @@
 }
 
 func (pl *loadPlay) putManifest() {
-	mf := &jpdirectory.Manifest{Version: pl.revision + 1, IdleTimeout: 15 * time.Second, Services: []jpdirectory.Service{
+	mf := &jpdirectory.Manifest{Version: pl.revision.Number + 1, IdleTimeout: 15 * time.Second, Services: []jpdirectory.Service{
 		{Name: "core", MaxFlows: 200, ColdTime: 2 * time.Second, ColdPerSecond: 10}, {Name: "print", MaxFlows: 200, ColdTime: 2 * time.Second},
 	}}
 	for _, kd := range pl.kinds {
--- a/core/jpdispatch/sim_test.go
+++ b/core/jpdispatch/sim_test.go
@@ -74,7 +74,7 @@
 	rng            *rand.Rand
 	now            time.Time
 	store          *jpdirectory.Directory
-	revision       uint64
+	revision       jpdirectory.Revision
 	storeDownUntil time.Time // end of its outage
 	storeUpSince   time.Time // start of the store's current uninterrupted availability
 	servers        []*simServer
@@ -124,7 +124,7 @@
 }
 
 func (sm *simulation) putRecord(rc jpdirectory.Record) {
-	sm.revision++
+	sm.revision.Number++
 	rc.Revision = sm.revision
 	sm.store.Apply(sm.now, jpdirectory.Update{Records: []jpdirectory.Record{rc}, Revision: sm.revision, CurrentAt: sm.now})
 }
--- a/core/jpdispatch/simpeer_test.go
+++ b/core/jpdispatch/simpeer_test.go
@@ -31,11 +31,11 @@
 	upSince        time.Time // zero while the store does not answer
 	lastResponse   time.Time
 	nextStatus     time.Time
-	statusRevision uint64
+	statusRevision jpdirectory.Revision
 }
 
 type simStatus struct {
-	revision                            uint64
+	revision                            jpdirectory.Revision
 	currentAt, storeUpSince, receivedAt time.Time
 }
 
@@ -117,7 +117,7 @@
 }
 
 func (sm *simulation) applyUpdate(in *simInstance, up jpdirectory.Update) {
-	sm.note("instance %d gets revision %d", slices.Index(sm.instances, in), up.Revision)
+	sm.note("instance %d gets revision %v", slices.Index(sm.instances, in), up.Revision)
 	in.Apply(sm.now, in.directory.Apply(sm.now, up))
 	in.SetFreshness(in.directory.CurrentAt(), sm.storeUpSinceAt(in))
 }
@@ -134,7 +134,7 @@
 	}
 }
 
-func (sm *simulation) handleStatus(from, in *simInstance, revision uint64, sent, age, uptime time.Duration) {
+func (sm *simulation) handleStatus(from, in *simInstance, revision jpdirectory.Revision, sent, age, uptime time.Duration) {
 	sentAt := sm.now.Add(-in.peers.transits.Delay(sm.now, from, sent))
 	in.peers.statuses[from] = simStatus{revision, sentAt.Add(-age), sentAt.Add(-uptime), sm.now}
 	in.directory.Confirm(revision, sentAt.Add(-age))
@@ -146,7 +146,7 @@
 		up := from.directory.Since(known)
 		age, sent := sm.now.Sub(up.CurrentAt), sm.now.Sub(from.peers.startedAt)
 		sm.deliver(from, in, func() {
-			if !up.Full && known > in.directory.Revision() {
+			if !up.Full && known.After(in.directory.Revision()) {
 				return
 			}
 			up.CurrentAt = sm.now.Add(-in.peers.transits.Delay(sm.now, from, sent)).Add(-age)
--- a/core/jpdispatch/simplay_test.go
+++ b/core/jpdispatch/simplay_test.go
@@ -116,7 +116,7 @@
 
 // describe returns the state of an instance that a failure depends on.
 func (sm *simulation) describe(in *simInstance, fl *simFlow) string {
-	text := fmt.Sprintf("instance %d, route %v, caller %v, tag %d, revision %d of %d, directory %v old, store up for %v, entry listed %t",
+	text := fmt.Sprintf("instance %d, route %v, caller %v, tag %d, revision %v of %v, directory %v old, store up for %v, entry listed %t",
 		slices.Index(sm.instances, in), fl.packet.Route.Port(), fl.packet.Caller.Port(), fl.packet.Tag, in.directory.Revision(), sm.revision,
 		sm.now.Sub(in.currentAt), sm.now.Sub(in.Dispatcher.storeUpSince), fl.server.listed)
 	if mf := in.directory.Manifest(); mf != nil {
--- a/io/jpentry/changes.go
+++ b/io/jpentry/changes.go
@@ -26,7 +26,7 @@
 
 // logReset logs the reset of an open flow with the evidence for it. Resets have a
 // limit of their own, so that lines about other packets don't displace them.
-func (en *Entry) logReset(now time.Time, rs jpdispatch.ResetPacket, request string, revision uint64, age time.Duration) {
+func (en *Entry) logReset(now time.Time, rs jpdispatch.ResetPacket, request string, revision jpdirectory.Revision, age time.Duration) {
 	if !en.resetLineLimiter.allow(now) {
 		return
 	}
@@ -115,7 +115,7 @@
 	}
 	en.metrics.ignoredRecords.Add(uint64(len(ignored)))
 	for _, rc := range ignored[:min(len(ignored), maxLinesPerUpdate)] {
-		keysAndValues := []any{"name", rc.Key.Name, "revision", rc.Revision, "era", up.Era, "ignored", len(ignored)}
+		keysAndValues := []any{"name", rc.Key.Name, "revision", rc.Revision, "ignored", len(ignored)}
 		if rc.Manifest != nil {
 			keysAndValues = append(keysAndValues, "version", rc.Manifest.Version)
 		}
--- a/io/jpentry/control.go
+++ b/io/jpentry/control.go
@@ -217,11 +217,12 @@
 		return now
 	}
 	var observations []jpdirectory.Availability
-	if sh := en.storeHealth; !sh.upSince.IsZero() {
+	era := en.directory.Revision().Era // availability before the store was restored doesn't count
+	if sh := en.storeHealth; !sh.upSince.IsZero() && sh.era == era {
 		observations = append(observations, jpdirectory.Availability{UpSince: sh.upSince, ConfirmedAt: sh.lastResponse})
 	}
 	for _, ps := range en.statuses {
-		if now.Sub(ps.receivedAt) < statusMaxAge {
+		if now.Sub(ps.receivedAt) < statusMaxAge && ps.revision.Era == era {
 			observations = append(observations, jpdirectory.Availability{UpSince: ps.storeUpSince, ConfirmedAt: ps.currentAt})
 		}
 	}
@@ -356,7 +357,7 @@
 	if en.messagesMayBeOld(now) {
 		du.Update.CurrentAt = time.Time{}
 	}
-	if !du.Update.Full && du.SinceRevision > en.directory.Revision() {
+	if !du.Update.Full && du.SinceRevision.After(en.directory.Revision()) {
 		return // changes between the directory's revision and SinceRevision are missing
 	}
 	en.applyUpdate(now, du.Update, from)
@@ -365,6 +366,10 @@
 // applyUpdate applies an update to the directory and the dispatcher. The caller
 // holds mu.
 func (en *Entry) applyUpdate(now time.Time, up jpdirectory.Update, source string) {
+	if known := en.directory.Revision(); en.directory.Populated() && up.Revision.Era > known.Era {
+		klog.InfoS("store: restored", "revision", up.Revision, "known_revision", known, "source", source)
+		en.timeline.Add("store", "store_restored", "", source)
+	}
 	before := en.directory.Manifest()
 	changed := en.directory.Apply(now, up)
 	// The dispatcher interprets the changes by the age that its records had
--- a/io/jpentry/entry.go
+++ b/io/jpentry/entry.go
@@ -73,7 +73,7 @@
 	statuses       map[string]peerStatus
 	transits       jpdirectory.Transits[string] // by id of the peer
 	nextStatus     time.Time                    // when the next status is due
-	statusRevision uint64                       // revision in the last status sent to peers
+	statusRevision jpdirectory.Revision         // revision in the last status sent to peers
 	requestLimiter *jpdirectory.RequestLimiter
 	watchDuty      *jpdirectory.WatchDuty
 	held           jpdispatch.HoldQueue[heldPacket] // packets received before the directory had a manifest
@@ -100,7 +100,7 @@
 // peerStatus is the latest status message of a peer, with its durations converted
 // to points in time.
 type peerStatus struct {
-	revision     uint64
+	revision     jpdirectory.Revision
 	currentAt    time.Time
 	storeUpSince time.Time
 	receivedAt   time.Time
--- a/io/jpentry/entry_test.go
+++ b/io/jpentry/entry_test.go
@@ -152,8 +152,8 @@
 func TestStatusesExpire(t *testing.T) {
 	en := newTestEntry(t, &registryStore{})
 	now := time.Now()
-	en.statuses["10.0.0.1"] = peerStatus{revision: 7, receivedAt: now.Add(-statusMaxAge)}
-	en.statuses["10.0.0.2"] = peerStatus{revision: 7, receivedAt: now}
+	en.statuses["10.0.0.1"] = peerStatus{revision: jpdirectory.Revision{Number: 7}, receivedAt: now.Add(-statusMaxAge)}
+	en.statuses["10.0.0.2"] = peerStatus{revision: jpdirectory.Revision{Number: 7}, receivedAt: now}
 	en.tick(now)
 	if _, kept := en.statuses["10.0.0.1"]; kept || len(en.statuses) != 1 {
 		t.Errorf("statuses %v, want only that of 10.0.0.2", en.statuses)
@@ -187,16 +187,16 @@
 	for no := range byte(3) {
 		en.handlePacket([]byte{no}, 0, 1, time.Time{})
 	}
-	en.handleStoreUpdate(time.Now(), jpdirectory.Update{Revision: 2, Full: true, CurrentAt: time.Now(), Records: []jpdirectory.Record{
+	en.handleStoreUpdate(time.Now(), jpdirectory.Update{Revision: jpdirectory.Revision{Number: 2}, Full: true, CurrentAt: time.Now(), Records: []jpdirectory.Record{
 		{
-			Key: jpdirectory.Key{Kind: jpdirectory.ManifestRecord}, Revision: 1,
+			Key: jpdirectory.Key{Kind: jpdirectory.ManifestRecord}, Revision: jpdirectory.Revision{Number: 1},
 			Manifest: &jpdirectory.Manifest{
 				Version: 1, Services: []jpdirectory.Service{{Name: "desk", MaxFlows: 10}},
 				Routes: []jpdirectory.Route{{Address: testRoute, Targets: []jpdirectory.Target{{Service: "desk", Weight: 1}}}},
 			},
 		},
 		{
-			Key: jpdirectory.Key{Kind: jpdirectory.ServerRecord, Name: "i-1"}, Revision: 2,
+			Key: jpdirectory.Key{Kind: jpdirectory.ServerRecord, Name: "i-1"}, Revision: jpdirectory.Revision{Number: 2},
 			Server: &jpdirectory.Server{
 				ID: "i-1", Number: 1, Service: "desk", DataCentre: "hobart", Slots: 2,
 				Address: server.LocalAddr().(*net.UDPAddr).AddrPort(),
--- a/io/jpentry/freshness_test.go
+++ b/io/jpentry/freshness_test.go
@@ -41,7 +41,7 @@
 	en := newTestEntry(t, &registryStore{})
 	now := time.Now()
 	en.storeHealth = storeHealth{upSince: now.Add(-time.Hour), lastResponse: now.Add(-time.Minute)}
-	en.handleStoreUpdate(now, jpdirectory.Update{Revision: 7, CurrentAt: now})
+	en.handleStoreUpdate(now, jpdirectory.Update{Revision: jpdirectory.Revision{Number: 7}, CurrentAt: now})
 	if uptime := time.Since(en.storeUpSince(time.Now())); uptime > time.Minute {
 		t.Errorf("the store counts as available for %v, last answer before that was a minute ago", uptime)
 	}
@@ -65,3 +65,34 @@
 		t.Errorf("the store counts as available for %v, want 200 ms", uptime)
 	}
 }
+
+// Guards against open flows that are reset because their servers' entries are missing from
+// a restored store: the time since which it answers has to begin anew.
+func TestStoreUptimeAfterRestore(t *testing.T) {
+	now := time.Now()
+	before, after := jpdirectory.Revision{Era: 1, Number: 30}, jpdirectory.Revision{Era: 2, Number: 29}
+	for _, row := range []struct {
+		name    string
+		restore func(en *Entry)
+	}{
+		{"own read", func(en *Entry) {
+			en.handleStoreUpdate(now, jpdirectory.Update{Full: true, Revision: after, CurrentAt: now})
+		}},
+		{"read by a peer", func(en *Entry) {
+			en.applyUpdate(now, jpdirectory.Update{Full: true, Revision: after, CurrentAt: now}, "10.0.0.1")
+			en.handleStatus(now, "10.0.0.1", jppeer.DirectoryStatus{Revision: after})
+		}},
+	} {
+		en := newTestEntry(t, &registryStore{})
+		en.handleStoreUpdate(now, jpdirectory.Update{Full: true, Revision: before, CurrentAt: now.Add(-time.Second)})
+		en.storeHealth.upSince = now.Add(-time.Minute)
+		en.handleStatus(now, "10.0.0.2", jppeer.DirectoryStatus{Revision: before, StoreUptime: time.Minute})
+		if uptime := now.Sub(en.storeUpSince(now)); uptime < time.Minute {
+			t.Errorf("%s: the store counts as available for %v before, want a minute", row.name, uptime)
+		}
+		row.restore(en)
+		if uptime := now.Sub(en.storeUpSince(now)); uptime > time.Second {
+			t.Errorf("%s: the store counts as available for %v after it was restored", row.name, uptime)
+		}
+	}
+}
--- a/io/jpentry/log_test.go
+++ b/io/jpentry/log_test.go
@@ -94,9 +94,9 @@
 	rs := jpdispatch.ResetPacket{Reason: jpdispatch.ServerSilent, Server: "i-1", Evidence: jpdispatch.Evidence{
 		FlowSeenAt: now.Add(-3 * time.Second), CheckFailedAt: now.Add(-50 * time.Millisecond),
 	}}
-	en.logReset(now, rs, "r-1", 7, time.Second)
+	en.logReset(now, rs, "r-1", jpdirectory.Revision{Number: 7}, time.Second)
 	klog.Flush()
-	want := `flow_seen_ms=3000 alive_ms=-1 check_failed_ms=50 left_ms=-1 store_up_ms=-1 revision=7 age_ms=1000`
+	want := `flow_seen_ms=3000 alive_ms=-1 check_failed_ms=50 left_ms=-1 store_up_ms=-1 revision="0/7" age_ms=1000`
 	if !strings.Contains(out.String(), want) {
 		t.Errorf("the log has no line with %s:\n%s", want, out.String())
 	}
@@ -107,15 +107,15 @@
 func TestLinesAtStart(t *testing.T) {
 	out := captureLog(t)
 	en := newTestEntry(t, &registryStore{})
-	up := jpdirectory.Update{Revision: 700, Full: true, CurrentAt: time.Now(), Records: []jpdirectory.Record{{
-		Key: jpdirectory.Key{Kind: jpdirectory.ManifestRecord}, Revision: 1, Manifest: &jpdirectory.Manifest{Version: 1},
+	up := jpdirectory.Update{Revision: jpdirectory.Revision{Number: 700}, Full: true, CurrentAt: time.Now(), Records: []jpdirectory.Record{{
+		Key: jpdirectory.Key{Kind: jpdirectory.ManifestRecord}, Revision: jpdirectory.Revision{Number: 1}, Manifest: &jpdirectory.Manifest{Version: 1},
 	}}}
 	for no := range 300 {
 		server := &jpdirectory.Server{ID: fmt.Sprintf("i-%d", no), Number: uint64(no), Service: "desk"}
 		instance := &jpdirectory.Instance{ID: fmt.Sprintf("127.0.1.%d", no), DataCentre: "hobart"}
 		up.Records = append(up.Records,
-			jpdirectory.Record{Key: jpdirectory.Key{Kind: jpdirectory.ServerRecord, Name: server.ID}, Revision: uint64(2 + no), Server: server},
-			jpdirectory.Record{Key: jpdirectory.Key{Kind: jpdirectory.InstanceRecord, Name: instance.ID}, Revision: uint64(302 + no), Instance: instance})
+			jpdirectory.Record{Key: jpdirectory.Key{Kind: jpdirectory.ServerRecord, Name: server.ID}, Revision: jpdirectory.Revision{Number: uint64(2 + no)}, Server: server},
+			jpdirectory.Record{Key: jpdirectory.Key{Kind: jpdirectory.InstanceRecord, Name: instance.ID}, Revision: jpdirectory.Revision{Number: uint64(302 + no)}, Instance: instance})
 	}
 	en.handleStoreUpdate(time.Now(), up)
 	en.tick(time.Now())
--- a/io/jpentry/metrics.go
+++ b/io/jpentry/metrics.go
@@ -14,6 +14,7 @@
 	"github.com/uber-go/tally/v4/prometheus"
 	"k8s.io/klog/v2"
 
+	"jacinthpass/core/jpdirectory"
 	"jacinthpass/core/jpdispatch"
 	"jacinthpass/io/jppeer"
 )
@@ -97,14 +98,15 @@
 	mt.resetsByReason[reason].Add(1)
 }
 
-func (mt *metrics) updateGauges(stats jpdispatch.Stats, revision, calls uint64) {
+func (mt *metrics) updateGauges(stats jpdispatch.Stats, revision jpdirectory.Revision, calls uint64) {
 	mt.flows.Store(int64(stats.Flows))
 	mt.servers.Store(int64(stats.Servers))
 	mt.waitingFlows.Store(int64(stats.Waiting))
 	mt.silentServers.Store(int64(stats.Silent))
 	mt.failingServers.Store(int64(stats.Failing))
 	mt.slowServers.Store(int64(stats.Slow))
-	mt.revision.Store(revision)
+	mt.revision.Store(revision.Number)
+	mt.storeEra.Store(revision.Era)
 	mt.storeCalls.Store(calls)
 }
 
--- a/io/jpentry/packets.go
+++ b/io/jpentry/packets.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sys/unix"
 	"k8s.io/klog/v2"
 
+	"jacinthpass/core/jpdirectory"
 	"jacinthpass/core/jpdispatch"
 )
 
@@ -187,7 +188,7 @@
 // logDecision logs decisions that place a flow on a server, refuse or drop a packet,
 // or forward it to another server than its tag says, and those on SYNs and on the
 // first packet of each request, up to the limit of lineLimiter.
-func (en *Entry) logDecision(pk jpdispatch.Packet, dc jpdispatch.Decision, revision uint64, age time.Duration) {
+func (en *Entry) logDecision(pk jpdispatch.Packet, dc jpdispatch.Decision, revision jpdirectory.Revision, age time.Duration) {
 	routine := dc.Outcome == jpdispatch.Forward && dc.Reason != jpdispatch.Placed && dc.Reason != jpdispatch.Moved
 	routine = routine && !dc.TagDiffers && pk.Request == "" && pk.Flags&jpdispatch.SYN == 0
 	if routine || !en.lineLimiter.allow(time.Now()) {
--- a/io/jpentry/pause_test.go
+++ b/io/jpentry/pause_test.go
@@ -19,16 +19,16 @@
 		late   bool // the answer comes when those that waited have been read
 	}{
 		{"store", func(en *Entry, began, now time.Time) {
-			en.handleStoreUpdate(began, jpdirectory.Update{Revision: 7, CurrentAt: now})
+			en.handleStoreUpdate(began, jpdirectory.Update{Revision: jpdirectory.Revision{Number: 7}, CurrentAt: now})
 		}, false},
 		{"status of a peer", func(en *Entry, _, now time.Time) {
-			en.handleStatus(now, "10.0.0.1", jppeer.DirectoryStatus{Revision: 7, StoreUptime: time.Minute})
+			en.handleStatus(now, "10.0.0.1", jppeer.DirectoryStatus{Revision: jpdirectory.Revision{Number: 7}, StoreUptime: time.Minute})
 		}, false},
 		{"status of a peer, later", func(en *Entry, _, now time.Time) {
-			en.handleStatus(now, "10.0.0.1", jppeer.DirectoryStatus{Revision: 7, StoreUptime: time.Minute})
+			en.handleStatus(now, "10.0.0.1", jppeer.DirectoryStatus{Revision: jpdirectory.Revision{Number: 7}, StoreUptime: time.Minute})
 		}, true},
 		{"update of a peer", func(en *Entry, _, now time.Time) {
-			en.handleUpdate(now, "10.0.0.1", jppeer.DirectoryUpdate{SinceRevision: 7, Update: jpdirectory.Update{Revision: 8, CurrentAt: now}})
+			en.handleUpdate(now, "10.0.0.1", jppeer.DirectoryUpdate{SinceRevision: jpdirectory.Revision{Number: 7}, Update: jpdirectory.Update{Revision: jpdirectory.Revision{Number: 8}, CurrentAt: now}})
 		}, false},
 	}
 	for _, row := range rows {
@@ -37,7 +37,7 @@
 		now := time.Now()
 		began := now.Add(-3600 * time.Millisecond)
 		en.observe(began)
-		en.applyUpdate(began, jpdirectory.Update{Full: true, Revision: 7, CurrentAt: began}, "test")
+		en.applyUpdate(began, jpdirectory.Update{Full: true, Revision: jpdirectory.Revision{Number: 7}, CurrentAt: began}, "test")
 		for wait := statusInterval; row.late && wait > 0; wait -= tickInterval {
 			en.observe(now.Add(-wait))
 		}
@@ -52,8 +52,8 @@
 func TestAgesAfterSuspension(t *testing.T) {
 	en := newTestEntry(t, &registryStore{})
 	now := time.Now()
-	en.applyUpdate(now, jpdirectory.Update{Full: true, Revision: 7, CurrentAt: now}, "test")
-	en.handleStatus(now, "10.0.0.1", jppeer.DirectoryStatus{Revision: 7, StoreUptime: time.Minute})
+	en.applyUpdate(now, jpdirectory.Update{Full: true, Revision: jpdirectory.Revision{Number: 7}, CurrentAt: now}, "test")
+	en.handleStatus(now, "10.0.0.1", jppeer.DirectoryStatus{Revision: jpdirectory.Revision{Number: 7}, StoreUptime: time.Minute})
 	en.observe(now)
 	en.addUncounted(5 * time.Second)
 	if age := now.Sub(en.directory.CurrentAt()); age < 5*time.Second {
@@ -72,8 +72,8 @@
 	began := now.Add(-3600 * time.Millisecond)
 	en.observe(began.Add(-time.Millisecond))
 	server := jpdirectory.Server{ID: "i-1", Number: 1, Service: "desk", DataCentre: "hobart", Slots: 2}
-	en.applyUpdate(began, jpdirectory.Update{Full: true, Revision: 7, CurrentAt: began, Records: []jpdirectory.Record{
-		{Key: jpdirectory.Key{Kind: jpdirectory.ServerRecord, Name: "i-1"}, Revision: 7, Server: &server},
+	en.applyUpdate(began, jpdirectory.Update{Full: true, Revision: jpdirectory.Revision{Number: 7}, CurrentAt: began, Records: []jpdirectory.Record{
+		{Key: jpdirectory.Key{Kind: jpdirectory.ServerRecord, Name: "i-1"}, Revision: jpdirectory.Revision{Number: 7}, Server: &server},
 	}}, "test")
 	check := jpdispatch.Check{Server: jpdispatch.Endpoint{ID: "i-1", Tag: 1, Number: 1}}
 	if silence := en.handleCheckResult(now, began, check.Server, jpdispatch.CheckTimedOut); silence != jpdispatch.SilenceUnchanged {
--- a/io/jpentry/settings.go
+++ b/io/jpentry/settings.go
@@ -45,8 +45,9 @@
 	ReadPage(ctx context.Context, scope Scope, after string) (Page, error)
 	// Watch returns the changes after a revision as soon as there are any, or an
 	// update without records after the wait. The error is ErrHistoryGone if the
-	// store no longer has these changes, so that a full read is needed.
-	Watch(ctx context.Context, after uint64, wait time.Duration) (jpdirectory.Update, error)
+	// store no longer has these changes, or has been restored since, so that a full
+	// read is needed.
+	Watch(ctx context.Context, after jpdirectory.Revision, wait time.Duration) (jpdirectory.Update, error)
 	// GrantLease creates a lease and returns its id.
 	GrantLease(ctx context.Context, ttl time.Duration) (uint64, error)
 	// RenewLease renews a lease. The error is ErrLeaseExpired if it has expired.
@@ -74,9 +75,8 @@
 // Page is a page of the store's records.
 type Page struct {
 	Records  []jpdirectory.Record
-	Revision uint64 // of the store; records may be newer
-	Era      uint64 // of the store
-	Next     string // key after which the next page begins; empty after the last
+	Revision jpdirectory.Revision // of the store; records may be newer
+	Next     string               // key after which the next page begins; empty after the last
 }
 
 // Codec parses and builds packets in the platform's format.
--- a/io/jpentry/sync.go
+++ b/io/jpentry/sync.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -145,8 +146,11 @@
 			fr.pageTimeout = min(2*fr.pageTimeout, maxPageTimeout)
 			return jpdirectory.Update{}, err
 		}
-		if fr.update.Revision == 0 {
-			fr.update.Revision, fr.update.Era = page.Revision, page.Era
+		switch {
+		case fr.update.Revision.IsZero():
+			fr.update.Revision = page.Revision
+		case page.Revision.Era != fr.update.Revision.Era:
+			return jpdirectory.Update{}, fmt.Errorf("%w: the store was restored during a full read", ErrHistoryGone)
 		}
 		fr.update.Records = append(fr.update.Records, page.Records...)
 		fr.after = page.Next
@@ -215,19 +219,13 @@
 		up.CurrentAt = respondedAt
 	}
 	if en.storeHealth.upSince.IsZero() {
-		klog.InfoS("store: reachable", "era", up.Era, "revision", up.Revision, "full", up.Full)
+		klog.InfoS("store: reachable", "revision", up.Revision, "full", up.Full)
 		en.timeline.Add("store", "store_reachable", "", "")
 	}
-	if en.storeHealth.upSince.IsZero() || respondedAt.Sub(en.storeHealth.lastResponse) >= staleAfter {
-		en.storeHealth.upSince = respondedAt // nothing is known of the time since lastResponse
-	}
-	if up.Era != en.storeHealth.era && !en.storeHealth.lastResponse.IsZero() {
-		klog.InfoS("store: restored", "era", up.Era, "known_era", en.storeHealth.era, "revision", up.Revision,
-			"known_revision", en.directory.Revision(), "full", up.Full)
-		en.timeline.Add("store", "store_restored", "", "")
+	if sh := &en.storeHealth; sh.upSince.IsZero() || respondedAt.Sub(sh.lastResponse) >= staleAfter || sh.era != up.Revision.Era {
+		sh.upSince = respondedAt // nothing is known of the time since lastResponse, or the store was restored in it
 	}
-	en.storeHealth.era = up.Era
-	en.metrics.storeEra.Store(up.Era)
+	en.storeHealth.era = up.Revision.Era
 	en.logIgnored(up)
 	en.storeHealth.lastResponse = respondedAt
 	en.watchDuty.Responded(respondedAt)
--- a/io/jpentry/sync_test.go
+++ b/io/jpentry/sync_test.go
@@ -32,7 +32,7 @@
 	}
 	next := map[string]string{"": "a", "a": "b", "b": ""}[after]
 	record := jpdirectory.Record{Key: jpdirectory.Key{Kind: jpdirectory.ServerRecord, Name: "after " + after}}
-	return Page{Records: []jpdirectory.Record{record}, Revision: uint64(10 + len(ps.requested)), Next: next}, nil
+	return Page{Records: []jpdirectory.Record{record}, Revision: jpdirectory.Revision{Number: uint64(10 + len(ps.requested))}, Next: next}, nil
 }
 
 // Guards against a full read that starts over after a page could not be read, and against
@@ -68,11 +68,30 @@
 		if failures != 2 || !slices.Equal(ps.requested, tc.want) || !slices.Equal(early, tc.early) {
 			t.Errorf("%s: %d failures, pages %v, want %v; early %v, want %v", tc.name, failures, ps.requested, tc.want, early, tc.early)
 		}
-		if records := len(tc.want) - failures; len(up.Records) != records || up.Revision != 11 || !up.Full {
-			t.Errorf("%s: %d records, revision %d, full %t; want %d, the first page's 11, true", tc.name, len(up.Records), up.Revision, up.Full, records)
+		if records := len(tc.want) - failures; len(up.Records) != records || up.Revision.Number != 11 || !up.Full {
+			t.Errorf("%s: %d records, revision %v, full %t; want %d, the first page's 11, true", tc.name, len(up.Records), up.Revision, up.Full, records)
 		}
 		if fr.pageTimeout != maxPageTimeout {
 			t.Errorf("%s: page timeout %v after two failures, want %v", tc.name, fr.pageTimeout, maxPageTimeout)
 		}
 	}
 }
+
+// restoredStore is restored from a copy after its first page.
+type restoredStore struct {
+	Store
+	pages int
+}
+
+func (rs *restoredStore) ReadPage(context.Context, Scope, string) (Page, error) {
+	rs.pages++
+	return Page{Revision: jpdirectory.Revision{Era: uint64(min(rs.pages, 2)), Number: 10}, Next: "a"}, nil
+}
+
+// Guards against a full read that mixes pages from before and after the store was restored.
+func TestFullReadDuringRestore(t *testing.T) {
+	fr := newFullRead(time.Unix(1_790_000_000, 0), AllRecords)
+	if up, err := fr.readRemaining(t.Context(), &restoredStore{}, nil); !errors.Is(err, ErrHistoryGone) {
+		t.Errorf("update %+v, error %v, want one that asks for another full read", up, err)
+	}
+}
--- a/io/jpentry/wait_test.go
+++ b/io/jpentry/wait_test.go
@@ -12,9 +12,9 @@
 
 // fullServiceUpdate returns a directory with one route and one server that has one slot.
 func fullServiceUpdate(server netip.AddrPort) jpdirectory.Update {
-	return jpdirectory.Update{Revision: 2, Full: true, CurrentAt: time.Now(), Records: []jpdirectory.Record{
+	return jpdirectory.Update{Revision: jpdirectory.Revision{Number: 2}, Full: true, CurrentAt: time.Now(), Records: []jpdirectory.Record{
 		{
-			Key: jpdirectory.Key{Kind: jpdirectory.ManifestRecord}, Revision: 1,
+			Key: jpdirectory.Key{Kind: jpdirectory.ManifestRecord}, Revision: jpdirectory.Revision{Number: 1},
 			Manifest: &jpdirectory.Manifest{
 				Version: 1, Services: []jpdirectory.Service{{Name: "desk", MaxFlows: 100}},
 				Routes: []jpdirectory.Route{{
@@ -23,7 +23,7 @@
 			},
 		},
 		{
-			Key: jpdirectory.Key{Kind: jpdirectory.ServerRecord, Name: "i-1"}, Revision: 2,
+			Key: jpdirectory.Key{Kind: jpdirectory.ServerRecord, Name: "i-1"}, Revision: jpdirectory.Revision{Number: 2},
 			Server: &jpdirectory.Server{
 				ID: "i-1", Number: 1, Service: "desk", DataCentre: "hobart", Slots: 1,
 				Address: server,
--- a/io/jppeer/directory.go
+++ b/io/jppeer/directory.go
@@ -17,7 +17,7 @@
 // its flows put on servers. It is sent to each neighbour twice a second, and at once
 // after a change of the revision or when a check finds a server silent.
 type DirectoryStatus struct {
-	Revision      uint64
+	Revision      jpdirectory.Revision
 	SentAt        time.Duration // since the sender's start, see jpdirectory.Transits
 	Age           time.Duration // since the revision was last known to be the store's latest
 	StoreUptime   time.Duration // for which the store has answered without interruption
@@ -27,22 +27,28 @@
 
 // DirectoryRequest asks for the changes after a revision.
 type DirectoryRequest struct {
-	Revision uint64
+	Revision jpdirectory.Revision
 }
 
 // DirectoryUpdate is the response to a DirectoryRequest. SinceRevision is the
 // revision of the request. Deadlines in records and the time at which the records
 // were current are sent relative to ReferenceTime.
 type DirectoryUpdate struct {
-	SinceRevision uint64
+	SinceRevision jpdirectory.Revision
 	Update        jpdirectory.Update
 	SentAt        time.Duration // since the sender's start, see jpdirectory.Transits
 	ReferenceTime time.Time     // time of sending at the sender, of decoding at the receiver
 }
 
+type wireRevision struct {
+	_      struct{} `cbor:",toarray"`
+	Era    uint64
+	Number uint64
+}
+
 type wireDirectoryStatus struct {
 	_             struct{} `cbor:",toarray"`
-	Revision      uint64
+	Revision      wireRevision
 	SentAt        int64 // ns
 	Age           int64 // ns
 	StoreUptime   int64 // ns
@@ -63,13 +69,13 @@
 
 type wireDirectoryRequest struct {
 	_        struct{} `cbor:",toarray"`
-	Revision uint64
+	Revision wireRevision
 }
 
 type wireDirectoryUpdate struct {
 	_             struct{} `cbor:",toarray"`
-	SinceRevision uint64
-	Revision      uint64
+	SinceRevision wireRevision
+	Revision      wireRevision
 	Full          bool
 	SentAt        int64 // ns
 	Age           int64 // ns
@@ -80,7 +86,7 @@
 	_             struct{} `cbor:",toarray"`
 	Kind          uint8
 	Name          string
-	Revision      uint64
+	Revision      wireRevision
 	DataCentreOut bool
 	Manifest      *wireManifest
 	Server        *wireServer
@@ -140,9 +146,17 @@
 	Peer       netip.AddrPort
 }
 
+func revisionToWire(rv jpdirectory.Revision) wireRevision {
+	return wireRevision{Era: rv.Era, Number: rv.Number}
+}
+
+func revisionFromWire(wire wireRevision) jpdirectory.Revision {
+	return jpdirectory.Revision{Era: wire.Era, Number: wire.Number}
+}
+
 func directoryStatusToWire(ds DirectoryStatus) wireDirectoryStatus {
 	wire := wireDirectoryStatus{
-		Revision: ds.Revision, SentAt: int64(ds.SentAt), Age: int64(ds.Age), StoreUptime: int64(ds.StoreUptime),
+		Revision: revisionToWire(ds.Revision), SentAt: int64(ds.SentAt), Age: int64(ds.Age), StoreUptime: int64(ds.StoreUptime),
 		Loads: make([]wireServerLoad, 0, len(ds.Loads)), SilentServers: ds.SilentServers,
 	}
 	for _, ld := range ds.Loads {
@@ -159,7 +173,7 @@
 		return DirectoryStatus{}, oops.Errorf("age of %d ns or store uptime of %d ns is negative", wire.Age, wire.StoreUptime)
 	}
 	ds := DirectoryStatus{
-		Revision: wire.Revision, SentAt: time.Duration(wire.SentAt), Age: time.Duration(wire.Age),
+		Revision: revisionFromWire(wire.Revision), SentAt: time.Duration(wire.SentAt), Age: time.Duration(wire.Age),
 		StoreUptime: time.Duration(wire.StoreUptime), SilentServers: wire.SilentServers,
 	}
 	for _, wl := range wire.Loads {
@@ -180,7 +194,7 @@
 
 func directoryUpdateToWire(du DirectoryUpdate) wireDirectoryUpdate {
 	wire := wireDirectoryUpdate{
-		SinceRevision: du.SinceRevision, Revision: du.Update.Revision, Full: du.Update.Full, SentAt: int64(du.SentAt),
+		SinceRevision: revisionToWire(du.SinceRevision), Revision: revisionToWire(du.Update.Revision), Full: du.Update.Full, SentAt: int64(du.SentAt),
 		Age:     int64(max(du.ReferenceTime.Sub(du.Update.CurrentAt), 0)),
 		Records: make([]wireRecord, 0, len(du.Update.Records)),
 	}
@@ -192,9 +206,9 @@
 
 func directoryUpdateFromWire(wire wireDirectoryUpdate) (DirectoryUpdate, error) {
 	now := time.Now()
-	du := DirectoryUpdate{SinceRevision: wire.SinceRevision, SentAt: time.Duration(wire.SentAt), ReferenceTime: now}
+	du := DirectoryUpdate{SinceRevision: revisionFromWire(wire.SinceRevision), SentAt: time.Duration(wire.SentAt), ReferenceTime: now}
 	du.Update = jpdirectory.Update{
-		Revision: wire.Revision, Full: wire.Full, CurrentAt: now.Add(-time.Duration(wire.Age)),
+		Revision: revisionFromWire(wire.Revision), Full: wire.Full, CurrentAt: now.Add(-time.Duration(wire.Age)),
 	}
 	for _, wr := range wire.Records {
 		rc, err := recordFromWire(wr, now)
@@ -208,7 +222,7 @@
 
 func recordToWire(rc jpdirectory.Record, now time.Time) wireRecord {
 	wire := wireRecord{
-		Kind: uint8(rc.Key.Kind), Name: rc.Key.Name, Revision: rc.Revision, DataCentreOut: rc.DataCentreOut,
+		Kind: uint8(rc.Key.Kind), Name: rc.Key.Name, Revision: revisionToWire(rc.Revision), DataCentreOut: rc.DataCentreOut,
 	}
 	if mf := rc.Manifest; mf != nil {
 		wire.Manifest = manifestToWire(mf)
@@ -235,7 +249,7 @@
 	}
 	rc := jpdirectory.Record{
 		Key:      jpdirectory.Key{Kind: kind, Name: wire.Name},
-		Revision: wire.Revision, DataCentreOut: wire.DataCentreOut,
+		Revision: revisionFromWire(wire.Revision), DataCentreOut: wire.DataCentreOut,
 	}
 	if wire.Manifest != nil {
 		rc.Manifest = manifestFromWire(wire.Manifest)
--- a/io/jppeer/frame_test.go
+++ b/io/jppeer/frame_test.go
@@ -53,8 +53,8 @@
 // whose times change between encoding and decoding.
 func sampleDirectoryMessages() []any {
 	return []any{
-		DirectoryStatus{Revision: 7, Age: time.Second, StoreUptime: time.Minute, Loads: []jpdispatch.Load{{Tag: 1 << 31, Flows: 3, Held: 9, Requests: 1.25, Speed: jpspeed.Summary{Slowness: 3.5, Samples: 12}}}, SilentServers: []string{"i-2"}},
-		DirectoryRequest{Revision: 6},
+		DirectoryStatus{Revision: jpdirectory.Revision{Number: 7}, Age: time.Second, StoreUptime: time.Minute, Loads: []jpdispatch.Load{{Tag: 1 << 31, Flows: 3, Held: 9, Requests: 1.25, Speed: jpspeed.Summary{Slowness: 3.5, Samples: 12}}}, SilentServers: []string{"i-2"}},
+		DirectoryRequest{Revision: jpdirectory.Revision{Number: 6}},
 	}
 }
 
@@ -68,7 +68,7 @@
 		}
 	}
 	now := time.Now()
-	sent := DirectoryUpdate{SinceRevision: 6, ReferenceTime: now, Update: jpdirectory.Update{Revision: 9, CurrentAt: now.Add(-time.Second)}}
+	sent := DirectoryUpdate{SinceRevision: jpdirectory.Revision{Number: 6}, ReferenceTime: now, Update: jpdirectory.Update{Revision: jpdirectory.Revision{Number: 9}, CurrentAt: now.Add(-time.Second)}}
 	server := jpdirectory.Server{
 		ID: "i-7f3a91c2", Number: 0x7f3a91c2, Service: "order_desk", Address: netip.MustParseAddrPort("127.2.1.1:80"),
 		DataCentre: "hobart", Slots: 2, Draining: true, WarmAt: now.Add(time.Second), Started: time.UnixMilli(1_790_000_000_123),
@@ -82,10 +82,10 @@
 		Services: []jpdirectory.Service{{Name: "order_desk", MaxFlows: 2000, ColdTime: time.Second, ColdPerSecond: 2.5}},
 	}
 	sent.Update.Records = []jpdirectory.Record{
-		{Key: jpdirectory.Key{Kind: jpdirectory.ManifestRecord}, Revision: 7, Manifest: &manifest},
-		{Key: jpdirectory.Key{Kind: jpdirectory.ServerRecord, Name: server.ID}, Revision: 8, Server: &server},
-		{Key: jpdirectory.Key{Kind: jpdirectory.DataCentreOutRecord, Name: "hobart"}, Revision: 9, DataCentreOut: true},
-		{Key: jpdirectory.Key{Kind: jpdirectory.InstanceRecord, Name: "10.0.0.1"}, Revision: 9},
+		{Key: jpdirectory.Key{Kind: jpdirectory.ManifestRecord}, Revision: jpdirectory.Revision{Number: 7}, Manifest: &manifest},
+		{Key: jpdirectory.Key{Kind: jpdirectory.ServerRecord, Name: server.ID}, Revision: jpdirectory.Revision{Number: 8}, Server: &server},
+		{Key: jpdirectory.Key{Kind: jpdirectory.DataCentreOutRecord, Name: "hobart"}, Revision: jpdirectory.Revision{Number: 9}, DataCentreOut: true},
+		{Key: jpdirectory.Key{Kind: jpdirectory.InstanceRecord, Name: "10.0.0.1"}, Revision: jpdirectory.Revision{Number: 9}},
 	}
 	got := roundTrip(t, sent).(DirectoryUpdate)
 	if !reflect.DeepEqual(got.Update.Records[0].Manifest, &manifest) {
--- a/io/jppeer/node_test.go
+++ b/io/jppeer/node_test.go
@@ -283,8 +283,8 @@
 			Targets: []jpdirectory.Target{{Service: "desk", Weight: 100}}, Timeout: 2 * time.Second,
 		})
 	}
-	record := jpdirectory.Record{Key: jpdirectory.Key{Kind: jpdirectory.ManifestRecord}, Revision: 5, Manifest: &mf}
-	update := DirectoryUpdate{ReferenceTime: time.Now(), Update: jpdirectory.Update{Revision: 5, Records: []jpdirectory.Record{record}}}
+	record := jpdirectory.Record{Key: jpdirectory.Key{Kind: jpdirectory.ManifestRecord}, Revision: jpdirectory.Revision{Number: 5}, Manifest: &mf}
+	update := DirectoryUpdate{ReferenceTime: time.Now(), Update: jpdirectory.Update{Revision: jpdirectory.Revision{Number: 5}, Records: []jpdirectory.Record{record}}}
 	if err := from.Send("b", update); err != nil {
 		t.Fatal(err)
 	}
