jpentry: a lease holds the era in which it was granted

Callers saw nothing yet: an instance that is missing from the store is found by starting instances through the seeds and gossip only. Cause: a restored store has lost leases and entries and gives out lease ids again. An instance went on renewing an id that had become another's, which succeeds, and its entry was never written again. Change: Lease is a pair of id and era; a call that is answered in another era reports the lease as expired. An instance registers again as soon as its directory shows that the store was restored or has removed its entry.

--- a/core/jpdirectory/directory.go
+++ b/core/jpdirectory/directory.go
@@ -182,6 +182,9 @@
 	return up
 }
 
+// Record returns the latest known record of a key. It has no value if there is none.
+func (dr *Directory) Record(key Key) Record { return dr.records[key] }
+
 // Instances returns the registered instances in order of their ids.
 func (dr *Directory) Instances() []Instance {
 	var list []Instance
--- a/io/jpentry/control.go
+++ b/io/jpentry/control.go
@@ -366,7 +366,9 @@
 // applyUpdate applies an update to the directory and the dispatcher. The caller
 // holds mu.
 func (en *Entry) applyUpdate(now time.Time, up jpdirectory.Update, source string) {
-	if known := en.directory.Revision(); en.directory.Populated() && up.Revision.Era > known.Era {
+	known := en.directory.Revision()
+	restored := en.directory.Populated() && up.Revision.Era > known.Era
+	if restored {
 		klog.InfoS("store: restored", "revision", up.Revision, "known_revision", known, "source", source)
 		en.timeline.Add("store", "store_restored", "", source)
 	}
@@ -376,6 +378,7 @@
 	// before the update, so the freshness is updated afterwards.
 	en.dispatcher.Apply(now, changed)
 	en.updateFreshness(now)
+	en.checkRegistered(restored, changed)
 	if len(changed) == 0 {
 		return
 	}
--- a/io/jpentry/entry.go
+++ b/io/jpentry/entry.go
@@ -58,6 +58,7 @@
 	lastPacket    atomic.Int64  // receive time of the last packet from a caller, Unix ns
 	manifestKnown chan struct{} // closed once the directory has a manifest
 	flowsWait     chan struct{} // holds a value once a flow waits
+	unregistered  chan struct{} // holds a value once the store has lost this instance's entry
 
 	// The following fields are used by tick only.
 	nextTrafficLog time.Time
@@ -148,6 +149,7 @@
 		statuses:         map[string]peerStatus{},
 		manifestKnown:    make(chan struct{}),
 		flowsWait:        make(chan struct{}, 1),
+		unregistered:     make(chan struct{}, 1),
 		waiting:          map[jpdispatch.FlowKey][]byte{},
 	}
 	en.store.Store(&storeHandle{Store: pf.OpenStore(settings.Store), address: settings.Store})
--- a/io/jpentry/entry_test.go
+++ b/io/jpentry/entry_test.go
@@ -24,6 +24,7 @@
 	Store
 	errs  []error
 	calls []string
+	era   uint64
 }
 
 func (rs *registryStore) next(call string) error {
@@ -36,13 +37,13 @@
 	return err
 }
 
-func (rs *registryStore) GrantLease(context.Context, time.Duration) (uint64, error) {
-	return uint64(len(rs.calls) + 1), rs.next("grant")
+func (rs *registryStore) GrantLease(context.Context, time.Duration) (Lease, error) {
+	return Lease{ID: uint64(len(rs.calls) + 1), Era: rs.era}, rs.next("grant")
 }
 
-func (rs *registryStore) RenewLease(context.Context, uint64) error { return rs.next("renew") }
+func (rs *registryStore) RenewLease(context.Context, Lease) error { return rs.next("renew") }
 
-func (rs *registryStore) Register(context.Context, jpdirectory.Instance, uint64) error {
+func (rs *registryStore) Register(context.Context, jpdirectory.Instance, Lease) error {
 	return rs.next("register")
 }
 
@@ -102,6 +103,50 @@
 	}
 }
 
+// Guards against an instance that is missing from the store for ever: after the store was
+// restored, its lease belongs to another instance, and renewing it succeeds.
+func TestRegistrationAfterRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rs := &registryStore{}
+		en := newTestEntry(t, rs)
+		own := jpdirectory.Key{Kind: jpdirectory.InstanceRecord, Name: en.settings.ID}
+		update := func(era, number uint64, full bool, records ...jpdirectory.Record) {
+			en.mu.Lock()
+			defer en.mu.Unlock()
+			revision := jpdirectory.Revision{Era: era, Number: number}
+			en.applyUpdate(time.Now(), jpdirectory.Update{Full: full, Revision: revision, Records: records}, "test")
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		update(1, 5, true)
+		close(en.manifestKnown)
+		go en.maintainRegistration(ctx)
+		for _, step := range []struct {
+			name   string
+			change func()
+			want   []string // calls since the start
+		}{
+			{"start", func() {}, []string{"grant", "register"}},
+			{"own entry seen", func() {
+				update(1, 6, false, jpdirectory.Record{Key: own, Revision: jpdirectory.Revision{Era: 1, Number: 6}, Instance: &jpdirectory.Instance{ID: own.Name}})
+			}, []string{"grant", "register"}},
+			{"restored", func() { update(2, 5, true) }, []string{"grant", "register", "grant", "register"}},
+			{"removed", func() {
+				update(2, 6, false, jpdirectory.Record{Key: own, Revision: jpdirectory.Revision{Era: 2, Number: 6}, Instance: &jpdirectory.Instance{ID: own.Name}})
+				update(2, 7, false, jpdirectory.Record{Key: own, Revision: jpdirectory.Revision{Era: 2, Number: 7}})
+			}, []string{"grant", "register", "grant", "register", "register"}},
+		} {
+			step.change()
+			rs.era = en.directory.Revision().Era
+			time.Sleep(2 * time.Second)
+			synctest.Wait()
+			if !slices.Equal(rs.calls, step.want) {
+				t.Errorf("%s: calls %q, want %q", step.name, rs.calls, step.want)
+			}
+		}
+	})
+}
+
 // Guards against a counter that decreases, which the metrics library answers with a
 // panic, when the store has moved and its new client has made fewer calls.
 func TestStoreCallsAfterMove(t *testing.T) {
--- a/io/jpentry/settings.go
+++ b/io/jpentry/settings.go
@@ -48,19 +48,27 @@
 	// store no longer has these changes, or has been restored since, so that a full
 	// read is needed.
 	Watch(ctx context.Context, after jpdirectory.Revision, wait time.Duration) (jpdirectory.Update, error)
-	// GrantLease creates a lease and returns its id.
-	GrantLease(ctx context.Context, ttl time.Duration) (uint64, error)
-	// RenewLease renews a lease. The error is ErrLeaseExpired if it has expired.
-	RenewLease(ctx context.Context, lease uint64) error
+	// GrantLease creates a lease.
+	GrantLease(ctx context.Context, ttl time.Duration) (Lease, error)
+	// RenewLease renews a lease. The error is ErrLeaseExpired if it has expired, or if
+	// the store was restored since it was granted.
+	RenewLease(ctx context.Context, lease Lease) error
 	// Register writes the entry of an instance, which the store removes when the
-	// lease expires.
-	Register(ctx context.Context, in jpdirectory.Instance, lease uint64) error
+	// lease expires. The error is ErrLeaseExpired as for RenewLease; the entry may have
+	// been written nevertheless.
+	Register(ctx context.Context, in jpdirectory.Instance, lease Lease) error
 	// CallCount returns the number of calls made.
 	CallCount() uint64
 	// Close closes idle connections.
 	Close()
 }
 
+// Lease identifies a lease. A store that is restored from a copy gives out ids again.
+type Lease struct {
+	ID  uint64 // 0 if there is none
+	Era uint64 // era of the store that granted it
+}
+
 // Scope selects records of the store by their kind.
 type Scope uint8
 
--- a/io/jpentry/sync.go
+++ b/io/jpentry/sync.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -187,6 +188,13 @@
 	return en.directory.Populated()
 }
 
+// directoryEra returns the era of the store that the directory is of.
+func (en *Entry) directoryEra() uint64 {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	return en.directory.Revision().Era
+}
+
 // timeToWatch returns the time until this instance has to watch the store, at most 0 if
 // it has to now.
 func (en *Entry) timeToWatch(now time.Time) time.Duration {
@@ -260,8 +268,9 @@
 
 // registration is the entry of an instance in the store.
 type registration struct {
-	instance jpdirectory.Instance // its lease is 0 if there is none
-	written  bool                 // the store has the entry, bound to the lease
+	instance jpdirectory.Instance
+	lease    Lease
+	written  bool // the store has the entry, bound to the lease
 }
 
 // maintainRegistration keeps this instance's entry in the store until ctx ends.
@@ -279,10 +288,42 @@
 	}}
 	ttl := max(leaseTTL, en.settings.MinLeaseTTL)
 	en.mu.Unlock()
-	rg.instance.Lease = en.previousLease()
-	rg.written = rg.instance.Lease != 0
+	rg.lease = en.previousLease()
+	rg.written = rg.lease.ID != 0
 	for ctx.Err() == nil {
-		sleep(ctx, rg.maintain(ctx, en.store.Load(), ttl))
+		timer := time.NewTimer(rg.maintain(ctx, en.store.Load(), ttl))
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-en.unregistered:
+			rg.discard(en.directoryEra())
+			sleep(ctx, rand.N(maxRetryDelay)) // all instances notice that the store was restored
+		}
+		timer.Stop()
+	}
+}
+
+// checkRegistered requests another registration if the directory shows that the store
+// has lost this instance's entry: changed records include its removal, or the store has
+// been restored. The caller holds mu.
+func (en *Entry) checkRegistered(restored bool, changed []jpdirectory.Record) {
+	own := jpdirectory.Key{Kind: jpdirectory.InstanceRecord, Name: en.settings.ID}
+	removed := slices.ContainsFunc(changed, func(rc jpdirectory.Record) bool { return rc.Key == own && rc.Removed() })
+	if !restored && !removed {
+		return
+	}
+	select {
+	case en.unregistered <- struct{}{}:
+	default:
+	}
+}
+
+// discard notes that the store has lost the entry, and the lease if the store was restored
+// since it was granted. era is that of the store.
+func (rg *registration) discard(era uint64) {
+	rg.written = false
+	if rg.lease.Era < era {
+		rg.lease = Lease{}
 	}
 }
 
@@ -296,8 +337,8 @@
 	case err == nil:
 		return leaseRenewInterval
 	case errors.Is(err, ErrLeaseExpired):
-		klog.InfoS("store: registration has ended, registering again", "lease", rg.instance.Lease)
-		rg.instance.Lease, rg.written = 0, false
+		klog.InfoS("store: registration has ended, registering again", "lease", rg.lease.ID, "err", err)
+		rg.lease, rg.written = Lease{}, false
 	default:
 		klog.V(1).InfoS("store: registration failed", "err", err)
 	}
@@ -306,16 +347,16 @@
 
 func (rg *registration) renewOrWrite(ctx context.Context, store Store, ttl time.Duration) error {
 	if rg.written {
-		return store.RenewLease(ctx, rg.instance.Lease)
+		return store.RenewLease(ctx, rg.lease)
 	}
-	if rg.instance.Lease == 0 {
+	if rg.lease.ID == 0 {
 		lease, err := store.GrantLease(ctx, ttl)
 		if err != nil {
 			return err
 		}
-		rg.instance.Lease = lease
+		rg.lease = lease
 	}
-	if err := store.Register(ctx, rg.instance, rg.instance.Lease); err != nil {
+	if err := store.Register(ctx, rg.instance, rg.lease); err != nil {
 		return err
 	}
 	rg.written = true
@@ -323,14 +364,13 @@
 }
 
 // previousLease returns the lease of the entry that an earlier process of this
-// instance left in the store, or 0.
-func (en *Entry) previousLease() uint64 {
+// instance left in the store.
+func (en *Entry) previousLease() Lease {
 	en.mu.Lock()
 	defer en.mu.Unlock()
-	for _, in := range en.directory.Instances() {
-		if in.ID == en.settings.ID && in.DataCentre == en.settings.DataCentre && in.Peer == en.settings.Peer {
-			return in.Lease
-		}
+	rc := en.directory.Record(jpdirectory.Key{Kind: jpdirectory.InstanceRecord, Name: en.settings.ID})
+	if in := rc.Instance; in != nil && in.DataCentre == en.settings.DataCentre && in.Peer == en.settings.Peer {
+		return Lease{ID: in.Lease, Era: rc.Revision.Era}
 	}
-	return 0
+	return Lease{}
 }
