jpdirectory: peers pass on a later manifest than the store holds

Callers saw: flows to an added route refused by an instance that started after the store was restored, until the operator had written again. Cause: peers compared revisions only. An instance that had read the copy counted as current, although its peers kept a manifest of a higher version. Change: a directory's progress is its revision and the version of its manifest; statuses and requests carry both, and the manifest is ordered by its version, then its revision, also in an update of an earlier era.

--- a/core/jpdirectory/directory.go
+++ b/core/jpdirectory/directory.go
@@ -63,8 +63,9 @@
 func (dr *Directory) Apply(now time.Time, up Update) []Record {
 	if up.Revision.Before(dr.revision) {
 		// All changes up to a later revision are known, removals among them that were
-		// never seen here or that the store has lost.
-		return nil
+		// never seen here or that the store has lost. Only a manifest can be new.
+		up.Records = slices.DeleteFunc(slices.Clone(up.Records), func(rc Record) bool { return rc.Manifest == nil })
+		up.Revision, up.Full, up.CurrentAt = dr.revision, false, time.Time{}
 	}
 	var changed []Record
 	contained := map[Key]bool{}
@@ -86,13 +87,14 @@
 	return changed
 }
 
-// Ignored returns the records of an update that Apply would ignore because their revisions
-// are known, although a record with that revision should be the same.
+// Ignored returns the records of an update that Apply would ignore although the store should
+// not return them: older ones than are known, and others with a known revision.
 func (dr *Directory) Ignored(up Update) []Record {
 	var list []Record
 	for _, rc := range up.Records {
 		known, ok := dr.records[rc.Key]
-		if ok && (rc.Revision.Before(known.Revision) || rc.Revision == known.Revision && !sameState(rc, known)) {
+		older := rc.Manifest != nil && known.Manifest != nil && rc.Manifest.Version < known.Manifest.Version
+		if ok && (older || rc.Revision.Before(known.Revision) || rc.Revision == known.Revision && !sameState(rc, known)) {
 			list = append(list, rc)
 		}
 	}
@@ -113,14 +115,13 @@
 }
 
 func (dr *Directory) applyRecord(now time.Time, rc Record) bool {
+	if rc.Key.Kind == ManifestRecord {
+		return dr.applyManifest(rc)
+	}
 	known, ok := dr.records[rc.Key]
 	if ok && !rc.Revision.After(known.Revision) {
 		return false
 	}
-	// A manifest is replaced but never removed.
-	if lowersVersion(rc.Manifest, known.Manifest) || rc.Key.Kind == ManifestRecord && rc.Removed() {
-		return false
-	}
 	if !ok && rc.Removed() && !rc.Revision.After(dr.purgedRevision) {
 		return false
 	}
@@ -132,9 +133,21 @@
 	return ok || !rc.Removed()
 }
 
-// lowersVersion reports whether next has a lower version than known.
-func lowersVersion(next, known *Manifest) bool {
-	return next != nil && known != nil && next.Version < known.Version
+// applyManifest replaces the manifest, unless its version would decrease. It is never
+// removed.
+func (dr *Directory) applyManifest(rc Record) bool {
+	if rc.Manifest == nil {
+		return false
+	}
+	known := dr.records[rc.Key]
+	if known.Manifest != nil {
+		order := cmp.Or(cmp.Compare(rc.Manifest.Version, known.Manifest.Version), rc.Revision.Compare(known.Revision))
+		if order <= 0 {
+			return false
+		}
+	}
+	dr.records[rc.Key] = rc
+	return true
 }
 
 // removeMissing removes the keys that a full update does not contain. Keys that
@@ -165,14 +178,24 @@
 	}
 }
 
-// Since returns the changes after a revision. The update is full if the revision is zero
-// or of an earlier era, of which the store has lost changes, or if tombstones after it may
-// have been purged.
-func (dr *Directory) Since(revision Revision) Update {
+// Progress returns how far the directory has got.
+func (dr *Directory) Progress() Progress {
+	pg := Progress{Revision: dr.revision}
+	if mf := dr.Manifest(); mf != nil {
+		pg.ManifestVersion = mf.Version
+	}
+	return pg
+}
+
+// Since returns what a directory with a progress lacks. The update is full if its revision
+// is zero or of an earlier era, of which the store has lost changes, or if tombstones after
+// it may have been purged.
+func (dr *Directory) Since(known Progress) Update {
+	revision := known.Revision
 	up := Update{Revision: dr.revision, CurrentAt: dr.currentAt}
 	up.Full = revision.IsZero() || revision.Era < dr.revision.Era || revision.Before(dr.purgedRevision)
 	for _, rc := range dr.records {
-		if up.Full && !rc.Removed() || !up.Full && rc.Revision.After(revision) {
+		if up.Full && !rc.Removed() || !up.Full && (rc.Revision.After(revision) || rc.Manifest != nil && rc.Manifest.Version > known.ManifestVersion) {
 			up.Records = append(up.Records, rc)
 		}
 	}
--- a/core/jpdirectory/directory_test.go
+++ b/core/jpdirectory/directory_test.go
@@ -40,7 +40,7 @@
 	dr := New()
 	dr.Apply(atSecond(0), Update{Full: true, Revision: rv(10), Records: []Record{server("i-1", 4), server("i-2", 10)}})
 	dr.Apply(atSecond(1), Update{Revision: rv(12), Records: []Record{removal("i-1", 12)}})
-	for _, rc := range dr.Since(rv(10)).Records {
+	for _, rc := range dr.Since(Progress{Revision: rv(10)}).Records {
 		fmt.Println(rc.Key.Name, rc.Revision, rc.Removed())
 	}
 	// Output:
@@ -88,7 +88,7 @@
 			dr.Apply(atSecond(0), up)
 		}
 		var servers []string
-		for _, rc := range dr.Since(Revision{}).Records {
+		for _, rc := range dr.Since(Progress{}).Records {
 			if rc.Server != nil {
 				servers = append(servers, rc.Key.Name)
 			}
@@ -137,7 +137,7 @@
 		for _, up := range row.updates {
 			dr.Apply(atSecond(1), up)
 		}
-		up := dr.Since(first.Revision)
+		up := dr.Since(Progress{Revision: first.Revision})
 		var servers []string
 		for _, rc := range up.Records {
 			if rc.Server != nil {
@@ -150,6 +150,40 @@
 	}
 }
 
+// Guards against an instance that serves dropped routes because it has read only a copy of
+// the store, while its peers know a later version.
+func TestManifestOutlivesStore(t *testing.T) {
+	restored := func(version, number uint64) Update {
+		mf := manifest(version, number)
+		mf.Revision.Era = 2
+		return Update{Full: true, Revision: Revision{Era: 2, Number: 28}, Records: []Record{mf}}
+	}
+	rows := []struct {
+		name string
+		peer []Update
+	}{
+		{"peer of the earlier era", []Update{{Full: true, Revision: rv(30), Records: []Record{manifest(9, 29)}}}},
+		{"peer that has read the copy", []Update{{Full: true, Revision: rv(30), Records: []Record{manifest(9, 29)}}, restored(4, 28)}},
+	}
+	for _, row := range rows {
+		started, peer := New(), New()
+		started.Apply(atSecond(0), restored(4, 28))
+		for _, up := range row.peer {
+			peer.Apply(atSecond(0), up)
+		}
+		if !started.Progress().Behind(peer.Progress()) {
+			t.Errorf("%s: %+v does not count as behind %+v", row.name, started.Progress(), peer.Progress())
+		}
+		changed := started.Apply(atSecond(1), peer.Since(started.Progress()))
+		if len(changed) != 1 || started.Manifest().Version != 9 || started.Revision() != (Revision{Era: 2, Number: 28}) {
+			t.Errorf("%s: changed %v, version %d, revision %v", row.name, changed, started.Manifest().Version, started.Revision())
+		}
+		if started.Progress().Behind(peer.Progress()) {
+			t.Errorf("%s: %+v still counts as behind %+v", row.name, started.Progress(), peer.Progress())
+		}
+	}
+}
+
 // Guards against a peer that misses a removal because the tombstone was purged.
 func TestSinceAfterPurge(t *testing.T) {
 	dr := New()
@@ -158,7 +192,7 @@
 	dr.Apply(atSecond(0).Add(tombstoneTTL), Update{Revision: rv(5), Records: []Record{server("i-3", 5)}})
 	late := New()
 	late.Apply(atSecond(0), Update{Revision: rv(3), Records: []Record{server("i-1", 2), server("i-2", 3)}})
-	up := dr.Since(late.Revision())
+	up := dr.Since(late.Progress())
 	late.Apply(atSecond(1), up)
 	if !up.Full || !late.records[Key{ServerRecord, "i-1"}].Removed() {
 		t.Errorf("full %t, records %v", up.Full, late.records)
@@ -199,8 +233,8 @@
 			dr.Apply(atSecond(0), Update{Records: history[:seen], Revision: rv(uint64(seen))})
 		}
 		before := one.Revision()
-		one.Apply(atSecond(1), two.Since(one.Revision()))
-		two.Apply(atSecond(1), one.Since(two.Revision()))
+		one.Apply(atSecond(1), two.Since(one.Progress()))
+		two.Apply(atSecond(1), one.Since(two.Progress()))
 		if one.Revision().Before(before) {
 			t.Fatalf("revision decreased from %v to %v", before, one.Revision())
 		}
--- a/core/jpdirectory/requests.go
+++ b/core/jpdirectory/requests.go
@@ -31,7 +31,7 @@
 	storeReadUntil time.Time // end of the time reserved for the first read of the store
 	storeFailing   bool      // the latest call of the store by this instance has failed
 	nextAt         time.Time
-	behindAt       Revision  // revision of the directory when a peer first reported a higher one
+	behindAt       Progress  // progress of the directory when a peer first reported a higher one
 	remoteFrom     time.Time // from then on, peers in other data centres may be asked
 }
 
@@ -52,11 +52,11 @@
 func (rl *RequestLimiter) StoreResponded() { rl.storeFailing = false }
 
 // Allow reports whether to send a request now to a peer whose directory has the
-// revision reported, and counts the request if so. known is the revision of this
+// progress reported, and counts the request if so. known is the progress of this
 // instance's directory. A peer in another data centre, which is not local, is asked
 // only if those in this one have not helped for remoteDelay.
-func (rl *RequestLimiter) Allow(now time.Time, known, reported Revision, local bool) bool {
-	if !reported.After(known) {
+func (rl *RequestLimiter) Allow(now time.Time, known, reported Progress, local bool) bool {
+	if !known.Behind(reported) {
 		return false
 	}
 	if rl.remoteFrom.IsZero() || rl.behindAt != known {
@@ -65,11 +65,11 @@
 	// An instance whose own calls of the store fail takes any help: it would be the one
 	// to supply its data centre.
 	urgent := rl.storeFailing
-	if now.Before(rl.nextAt) || known.IsZero() && now.Before(rl.storeReadUntil) || !local && !urgent && now.Before(rl.remoteFrom) {
+	if now.Before(rl.nextAt) || known.Revision.IsZero() && now.Before(rl.storeReadUntil) || !local && !urgent && now.Before(rl.remoteFrom) {
 		return false
 	}
 	rl.nextAt = now.Add(requestInterval)
-	if known.IsZero() {
+	if known.Revision.IsZero() {
 		rl.nextAt = now.Add(fullRequestInterval)
 	}
 	return true
--- a/core/jpdirectory/requests_test.go
+++ b/core/jpdirectory/requests_test.go
@@ -5,12 +5,12 @@
 	"time"
 )
 
-// testRevision returns a revision of the first era, or the zero one.
-func testRevision(number uint64) Revision {
+// testProgress returns the progress at a revision of the first era, or the zero one.
+func testProgress(number uint64) Progress {
 	if number == 0 {
-		return Revision{}
+		return Progress{}
 	}
-	return rv(number)
+	return Progress{Revision: rv(number)}
 }
 
 // Guards against starting instances that repeatedly request all records from their
@@ -70,7 +70,7 @@
 			if st.responded {
 				rl.StoreResponded()
 			}
-			if got := rl.Allow(start.Add(st.at), testRevision(st.known), testRevision(st.reported), !st.remote); got != st.want {
+			if got := rl.Allow(start.Add(st.at), testProgress(st.known), testProgress(st.reported), !st.remote); got != st.want {
 				t.Errorf("%s: request after %v: %t, want %t", row.name, st.at, got, st.want)
 			}
 		}
--- a/core/jpdirectory/revision.go
+++ b/core/jpdirectory/revision.go
@@ -32,6 +32,19 @@
 	return strconv.FormatUint(rv.Era, 10) + "/" + strconv.FormatUint(rv.Number, 10)
 }
 
+// Progress is how far a directory has got. The version of the manifest is part of it,
+// because a store that was restored may hold an earlier one than an instance that has read
+// it before.
+type Progress struct {
+	Revision        Revision
+	ManifestVersion uint64 // 0 if there is none
+}
+
+// Behind reports whether a directory with another progress may know more.
+func (pg Progress) Behind(other Progress) bool {
+	return other.Revision.After(pg.Revision) || other.ManifestVersion > pg.ManifestVersion
+}
+
 // latest returns the later of two revisions.
 func latest(one, two Revision) Revision {
 	if two.After(one) {
--- a/core/jpdispatch/sim_test.go
+++ b/core/jpdispatch/sim_test.go
@@ -269,7 +269,7 @@
 	if in.storeUpSince.IsZero() {
 		in.storeUpSince = sm.now
 	}
-	up := sm.store.Since(in.directory.Revision())
+	up := sm.store.Since(in.directory.Progress())
 	up.CurrentAt = sm.now
 	in.Apply(sm.now, in.directory.Apply(sm.now, up))
 	in.SetFreshness(in.directory.CurrentAt(), in.storeUpSince)
--- a/core/jpdispatch/simpeer_test.go
+++ b/core/jpdispatch/simpeer_test.go
@@ -103,7 +103,7 @@
 	if in.directory.Revision() == sm.revision && sm.now.Before(ps.watchUntil) {
 		return
 	}
-	up := sm.store.Since(in.directory.Revision())
+	up := sm.store.Since(in.directory.Progress())
 	up.CurrentAt = sm.now
 	if ps.upSince.IsZero() || sm.now.Sub(ps.lastResponse) >= simStaleAfter {
 		ps.upSince = sm.now
@@ -124,29 +124,29 @@
 
 // sendStatus sends an instance's status to the others.
 func (sm *simulation) sendStatus(in *simInstance) {
-	revision := in.directory.Revision()
+	progress := in.directory.Progress()
 	age, uptime := sm.now.Sub(in.directory.CurrentAt()), sm.now.Sub(sm.storeUpSinceAt(in))
 	sent := sm.now.Sub(in.peers.startedAt)
 	for _, to := range sm.instances {
 		if to != in {
-			sm.deliver(in, to, func() { sm.handleStatus(in, to, revision, sent, age, uptime) })
+			sm.deliver(in, to, func() { sm.handleStatus(in, to, progress, sent, age, uptime) })
 		}
 	}
 }
 
-func (sm *simulation) handleStatus(from, in *simInstance, revision jpdirectory.Revision, sent, age, uptime time.Duration) {
+func (sm *simulation) handleStatus(from, in *simInstance, progress jpdirectory.Progress, sent, age, uptime time.Duration) {
 	sentAt := sm.now.Add(-in.peers.transits.Delay(sm.now, from, sent))
-	in.peers.statuses[from] = simStatus{revision, sentAt.Add(-age), sentAt.Add(-uptime), sm.now}
-	in.directory.Confirm(revision, sentAt.Add(-age))
-	known := in.directory.Revision()
-	if !in.peers.limiter.Allow(sm.now, known, revision, in.centre == from.centre) {
+	in.peers.statuses[from] = simStatus{progress.Revision, sentAt.Add(-age), sentAt.Add(-uptime), sm.now}
+	in.directory.Confirm(progress.Revision, sentAt.Add(-age))
+	known := in.directory.Progress()
+	if !in.peers.limiter.Allow(sm.now, known, progress, in.centre == from.centre) {
 		return
 	}
 	sm.deliver(in, from, func() {
 		up := from.directory.Since(known)
 		age, sent := sm.now.Sub(up.CurrentAt), sm.now.Sub(from.peers.startedAt)
 		sm.deliver(from, in, func() {
-			if !up.Full && known.After(in.directory.Revision()) {
+			if !up.Full && known.Revision.After(in.directory.Revision()) {
 				return
 			}
 			up.CurrentAt = sm.now.Add(-in.peers.transits.Delay(sm.now, from, sent)).Add(-age)
--- a/core/jpdispatch/simverify_test.go
+++ b/core/jpdispatch/simverify_test.go
@@ -19,7 +19,7 @@
 
 // knownEntry returns the entry of a server in the directory of an instance, or nil.
 func (sm *simulation) knownEntry(in *simInstance, id string) *jpdirectory.Server {
-	for _, rc := range in.directory.Since(jpdirectory.Revision{}).Records {
+	for _, rc := range in.directory.Since(jpdirectory.Progress{}).Records {
 		if rc.Server != nil && rc.Key.Name == id {
 			return rc.Server
 		}
--- a/io/jpentry/control.go
+++ b/io/jpentry/control.go
@@ -190,16 +190,16 @@
 }
 
 // statusDue returns the status for peers, and whether it is due: after
-// statusInterval, when the revision has changed, or when checkServer has found a
+// statusInterval, when the progress has changed, or when checkServer has found a
 // server silent. The caller holds mu.
 func (en *Entry) statusDue(now time.Time) (jppeer.DirectoryStatus, bool) {
-	revision := en.directory.Revision()
-	if now.Before(en.nextStatus) && revision == en.statusRevision {
+	progress := en.directory.Progress()
+	if now.Before(en.nextStatus) && progress == en.statusProgress {
 		return jppeer.DirectoryStatus{}, false
 	}
-	en.nextStatus, en.statusRevision = now.Add(statusInterval), revision
+	en.nextStatus, en.statusProgress = now.Add(statusInterval), progress
 	return jppeer.DirectoryStatus{
-		Revision:      revision,
+		Progress:      progress,
 		SentAt:        now.Sub(en.started),
 		Age:           max(now.Sub(en.directory.CurrentAt()), 0),
 		StoreUptime:   max(now.Sub(en.storeUpSince(now)), 0),
@@ -222,7 +222,7 @@
 		observations = append(observations, jpdirectory.Availability{UpSince: sh.upSince, ConfirmedAt: sh.lastResponse})
 	}
 	for _, ps := range en.statuses {
-		if now.Sub(ps.receivedAt) < statusMaxAge && ps.revision.Era == era {
+		if now.Sub(ps.receivedAt) < statusMaxAge && ps.progress.Revision.Era == era {
 			observations = append(observations, jpdirectory.Availability{UpSince: ps.storeUpSince, ConfirmedAt: ps.currentAt})
 		}
 	}
@@ -250,9 +250,9 @@
 		en.handleStatus(now, from, ms)
 	case jppeer.DirectoryRequest:
 		en.mu.Lock()
-		update := en.directory.Since(ms.Revision)
+		update := en.directory.Since(ms.Progress)
 		en.mu.Unlock()
-		en.sendToPeer(from, jppeer.DirectoryUpdate{SinceRevision: ms.Revision, Update: update, SentAt: now.Sub(en.started), ReferenceTime: now})
+		en.sendToPeer(from, jppeer.DirectoryUpdate{SinceRevision: ms.Progress.Revision, Update: update, SentAt: now.Sub(en.started), ReferenceTime: now})
 	case jppeer.DirectoryUpdate:
 		en.handleUpdate(now, from, ms)
 	case jppeer.EventsRequest:
@@ -267,11 +267,11 @@
 func (en *Entry) handleStatus(now time.Time, from string, ds jppeer.DirectoryStatus) {
 	en.mu.Lock()
 	en.observe(now)
-	ps := peerStatus{revision: ds.Revision, receivedAt: now}
+	ps := peerStatus{progress: ds.Progress, receivedAt: now}
 	sentAt := now.Add(-en.transits.Delay(now, from, ds.SentAt))
 	if !en.messagesMayBeOld(now) {
 		ps.currentAt, ps.storeUpSince = sentAt.Add(-ds.Age), sentAt.Add(-ds.StoreUptime)
-		en.directory.Confirm(ds.Revision, ps.currentAt)
+		en.directory.Confirm(ds.Progress.Revision, ps.currentAt)
 	}
 	en.statuses[from] = ps
 	local := en.inDataCentre(from)
@@ -280,14 +280,14 @@
 		en.dispatcher.HandleLoads(now, from, ds.Loads)
 		checks = en.dispatcher.HandleSilentServers(now, from, ds.SilentServers)
 	}
-	revision := en.directory.Revision()
-	requestDue := en.requestLimiter.Allow(now, revision, ds.Revision, local)
+	progress := en.directory.Progress()
+	requestDue := en.requestLimiter.Allow(now, progress, ds.Progress, local)
 	en.mu.Unlock()
 	for _, check := range checks {
 		en.checkServer(check)
 	}
 	if requestDue {
-		en.sendToPeer(from, jppeer.DirectoryRequest{Revision: revision})
+		en.sendToPeer(from, jppeer.DirectoryRequest{Progress: progress})
 	}
 }
 
@@ -335,17 +335,17 @@
 // is one. It is called when a packet carries a tag that no known server has.
 func (en *Entry) requestUpdate(now time.Time) {
 	en.mu.Lock()
-	revision := en.directory.Revision()
+	progress := en.directory.Progress()
 	peer := ""
 	for id, ps := range en.statuses {
-		if en.requestLimiter.Allow(now, revision, ps.revision, en.inDataCentre(id)) {
+		if en.requestLimiter.Allow(now, progress, ps.progress, en.inDataCentre(id)) {
 			peer = id
 			break
 		}
 	}
 	en.mu.Unlock()
 	if peer != "" {
-		en.sendToPeer(peer, jppeer.DirectoryRequest{Revision: revision})
+		en.sendToPeer(peer, jppeer.DirectoryRequest{Progress: progress})
 	}
 }
 
--- a/io/jpentry/entry.go
+++ b/io/jpentry/entry.go
@@ -74,7 +74,7 @@
 	statuses       map[string]peerStatus
 	transits       jpdirectory.Transits[string] // by id of the peer
 	nextStatus     time.Time                    // when the next status is due
-	statusRevision jpdirectory.Revision         // revision in the last status sent to peers
+	statusProgress jpdirectory.Progress         // progress in the last status sent to peers
 	requestLimiter *jpdirectory.RequestLimiter
 	watchDuty      *jpdirectory.WatchDuty
 	held           jpdispatch.HoldQueue[heldPacket] // packets received before the directory had a manifest
@@ -101,7 +101,7 @@
 // peerStatus is the latest status message of a peer, with its durations converted
 // to points in time.
 type peerStatus struct {
-	revision     jpdirectory.Revision
+	progress     jpdirectory.Progress
 	currentAt    time.Time
 	storeUpSince time.Time
 	receivedAt   time.Time
--- a/io/jpentry/entry_test.go
+++ b/io/jpentry/entry_test.go
@@ -197,8 +197,8 @@
 func TestStatusesExpire(t *testing.T) {
 	en := newTestEntry(t, &registryStore{})
 	now := time.Now()
-	en.statuses["10.0.0.1"] = peerStatus{revision: jpdirectory.Revision{Number: 7}, receivedAt: now.Add(-statusMaxAge)}
-	en.statuses["10.0.0.2"] = peerStatus{revision: jpdirectory.Revision{Number: 7}, receivedAt: now}
+	en.statuses["10.0.0.1"] = peerStatus{progress: jpdirectory.Progress{Revision: jpdirectory.Revision{Number: 7}}, receivedAt: now.Add(-statusMaxAge)}
+	en.statuses["10.0.0.2"] = peerStatus{progress: jpdirectory.Progress{Revision: jpdirectory.Revision{Number: 7}}, receivedAt: now}
 	en.tick(now)
 	if _, kept := en.statuses["10.0.0.1"]; kept || len(en.statuses) != 1 {
 		t.Errorf("statuses %v, want only that of 10.0.0.2", en.statuses)
--- a/io/jpentry/freshness_test.go
+++ b/io/jpentry/freshness_test.go
@@ -80,13 +80,13 @@
 		}},
 		{"read by a peer", func(en *Entry) {
 			en.applyUpdate(now, jpdirectory.Update{Full: true, Revision: after, CurrentAt: now}, "10.0.0.1")
-			en.handleStatus(now, "10.0.0.1", jppeer.DirectoryStatus{Revision: after})
+			en.handleStatus(now, "10.0.0.1", jppeer.DirectoryStatus{Progress: jpdirectory.Progress{Revision: after}})
 		}},
 	} {
 		en := newTestEntry(t, &registryStore{})
 		en.handleStoreUpdate(now, jpdirectory.Update{Full: true, Revision: before, CurrentAt: now.Add(-time.Second)})
 		en.storeHealth.upSince = now.Add(-time.Minute)
-		en.handleStatus(now, "10.0.0.2", jppeer.DirectoryStatus{Revision: before, StoreUptime: time.Minute})
+		en.handleStatus(now, "10.0.0.2", jppeer.DirectoryStatus{Progress: jpdirectory.Progress{Revision: before}, StoreUptime: time.Minute})
 		if uptime := now.Sub(en.storeUpSince(now)); uptime < time.Minute {
 			t.Errorf("%s: the store counts as available for %v before, want a minute", row.name, uptime)
 		}
--- a/io/jpentry/pause_test.go
+++ b/io/jpentry/pause_test.go
@@ -22,10 +22,10 @@
 			en.handleStoreUpdate(began, jpdirectory.Update{Revision: jpdirectory.Revision{Number: 7}, CurrentAt: now})
 		}, false},
 		{"status of a peer", func(en *Entry, _, now time.Time) {
-			en.handleStatus(now, "10.0.0.1", jppeer.DirectoryStatus{Revision: jpdirectory.Revision{Number: 7}, StoreUptime: time.Minute})
+			en.handleStatus(now, "10.0.0.1", jppeer.DirectoryStatus{Progress: jpdirectory.Progress{Revision: jpdirectory.Revision{Number: 7}}, StoreUptime: time.Minute})
 		}, false},
 		{"status of a peer, later", func(en *Entry, _, now time.Time) {
-			en.handleStatus(now, "10.0.0.1", jppeer.DirectoryStatus{Revision: jpdirectory.Revision{Number: 7}, StoreUptime: time.Minute})
+			en.handleStatus(now, "10.0.0.1", jppeer.DirectoryStatus{Progress: jpdirectory.Progress{Revision: jpdirectory.Revision{Number: 7}}, StoreUptime: time.Minute})
 		}, true},
 		{"update of a peer", func(en *Entry, _, now time.Time) {
 			en.handleUpdate(now, "10.0.0.1", jppeer.DirectoryUpdate{SinceRevision: jpdirectory.Revision{Number: 7}, Update: jpdirectory.Update{Revision: jpdirectory.Revision{Number: 8}, CurrentAt: now}})
@@ -53,7 +53,7 @@
 	en := newTestEntry(t, &registryStore{})
 	now := time.Now()
 	en.applyUpdate(now, jpdirectory.Update{Full: true, Revision: jpdirectory.Revision{Number: 7}, CurrentAt: now}, "test")
-	en.handleStatus(now, "10.0.0.1", jppeer.DirectoryStatus{Revision: jpdirectory.Revision{Number: 7}, StoreUptime: time.Minute})
+	en.handleStatus(now, "10.0.0.1", jppeer.DirectoryStatus{Progress: jpdirectory.Progress{Revision: jpdirectory.Revision{Number: 7}}, StoreUptime: time.Minute})
 	en.observe(now)
 	en.addUncounted(5 * time.Second)
 	if age := now.Sub(en.directory.CurrentAt()); age < 5*time.Second {
--- a/io/jppeer/directory.go
+++ b/io/jppeer/directory.go
@@ -12,12 +12,12 @@
 	"jacinthpass/core/jpspeed"
 )
 
-// DirectoryStatus reports the revision of the sender's directory and the servers
+// DirectoryStatus reports the progress of the sender's directory and the servers
 // that it has found silent, and to instances of its own data centre the loads that
 // its flows put on servers. It is sent to each neighbour twice a second, and at once
 // after a change of the revision or when a check finds a server silent.
 type DirectoryStatus struct {
-	Revision      jpdirectory.Revision
+	Progress      jpdirectory.Progress
 	SentAt        time.Duration // since the sender's start, see jpdirectory.Transits
 	Age           time.Duration // since the revision was last known to be the store's latest
 	StoreUptime   time.Duration // for which the store has answered without interruption
@@ -25,9 +25,9 @@
 	SilentServers []string // ids of servers whose latest check failed
 }
 
-// DirectoryRequest asks for the changes after a revision.
+// DirectoryRequest asks for what a directory with a progress lacks.
 type DirectoryRequest struct {
-	Revision jpdirectory.Revision
+	Progress jpdirectory.Progress
 }
 
 // DirectoryUpdate is the response to a DirectoryRequest. SinceRevision is the
@@ -46,9 +46,15 @@
 	Number uint64
 }
 
+type wireProgress struct {
+	_               struct{} `cbor:",toarray"`
+	Revision        wireRevision
+	ManifestVersion uint64
+}
+
 type wireDirectoryStatus struct {
 	_             struct{} `cbor:",toarray"`
-	Revision      wireRevision
+	Progress      wireProgress
 	SentAt        int64 // ns
 	Age           int64 // ns
 	StoreUptime   int64 // ns
@@ -69,7 +75,7 @@
 
 type wireDirectoryRequest struct {
 	_        struct{} `cbor:",toarray"`
-	Revision wireRevision
+	Progress wireProgress
 }
 
 type wireDirectoryUpdate struct {
@@ -154,9 +160,17 @@
 	return jpdirectory.Revision{Era: wire.Era, Number: wire.Number}
 }
 
+func progressToWire(pg jpdirectory.Progress) wireProgress {
+	return wireProgress{Revision: revisionToWire(pg.Revision), ManifestVersion: pg.ManifestVersion}
+}
+
+func progressFromWire(wire wireProgress) jpdirectory.Progress {
+	return jpdirectory.Progress{Revision: revisionFromWire(wire.Revision), ManifestVersion: wire.ManifestVersion}
+}
+
 func directoryStatusToWire(ds DirectoryStatus) wireDirectoryStatus {
 	wire := wireDirectoryStatus{
-		Revision: revisionToWire(ds.Revision), SentAt: int64(ds.SentAt), Age: int64(ds.Age), StoreUptime: int64(ds.StoreUptime),
+		Progress: progressToWire(ds.Progress), SentAt: int64(ds.SentAt), Age: int64(ds.Age), StoreUptime: int64(ds.StoreUptime),
 		Loads: make([]wireServerLoad, 0, len(ds.Loads)), SilentServers: ds.SilentServers,
 	}
 	for _, ld := range ds.Loads {
@@ -173,7 +187,7 @@
 		return DirectoryStatus{}, oops.Errorf("age of %d ns or store uptime of %d ns is negative", wire.Age, wire.StoreUptime)
 	}
 	ds := DirectoryStatus{
-		Revision: revisionFromWire(wire.Revision), SentAt: time.Duration(wire.SentAt), Age: time.Duration(wire.Age),
+		Progress: progressFromWire(wire.Progress), SentAt: time.Duration(wire.SentAt), Age: time.Duration(wire.Age),
 		StoreUptime: time.Duration(wire.StoreUptime), SilentServers: wire.SilentServers,
 	}
 	for _, wl := range wire.Loads {
--- a/io/jppeer/frame.go
+++ b/io/jppeer/frame.go
@@ -108,7 +108,7 @@
 	case DirectoryStatus:
 		return typeDirectoryStatus, directoryStatusToWire(msg), nil
 	case DirectoryRequest:
-		return typeDirectoryRequest, wireDirectoryRequest{Revision: revisionToWire(msg.Revision)}, nil
+		return typeDirectoryRequest, wireDirectoryRequest{Progress: progressToWire(msg.Progress)}, nil
 	case DirectoryUpdate:
 		return typeDirectoryUpdate, directoryUpdateToWire(msg), nil
 	}
@@ -157,7 +157,7 @@
 		return fromWire(env.Body, directoryStatusFromWire)
 	case typeDirectoryRequest:
 		return fromWire(env.Body, func(wr wireDirectoryRequest) (DirectoryRequest, error) {
-			return DirectoryRequest{Revision: revisionFromWire(wr.Revision)}, nil
+			return DirectoryRequest{Progress: progressFromWire(wr.Progress)}, nil
 		})
 	case typeDirectoryUpdate:
 		return fromWire(env.Body, directoryUpdateFromWire)
--- a/io/jppeer/frame_test.go
+++ b/io/jppeer/frame_test.go
@@ -53,8 +53,8 @@
 // whose times change between encoding and decoding.
 func sampleDirectoryMessages() []any {
 	return []any{
-		DirectoryStatus{Revision: jpdirectory.Revision{Number: 7}, Age: time.Second, StoreUptime: time.Minute, Loads: []jpdispatch.Load{{Tag: 1 << 31, Flows: 3, Held: 9, Requests: 1.25, Speed: jpspeed.Summary{Slowness: 3.5, Samples: 12}}}, SilentServers: []string{"i-2"}},
-		DirectoryRequest{Revision: jpdirectory.Revision{Number: 6}},
+		DirectoryStatus{Progress: jpdirectory.Progress{Revision: jpdirectory.Revision{Number: 7}}, Age: time.Second, StoreUptime: time.Minute, Loads: []jpdispatch.Load{{Tag: 1 << 31, Flows: 3, Held: 9, Requests: 1.25, Speed: jpspeed.Summary{Slowness: 3.5, Samples: 12}}}, SilentServers: []string{"i-2"}},
+		DirectoryRequest{Progress: jpdirectory.Progress{Revision: jpdirectory.Revision{Number: 6}}},
 	}
 }
 
--- a/test/platform_test.go
+++ b/test/platform_test.go
@@ -313,6 +313,29 @@
 	}
 }
 
+// Guards against an instance that refuses flows to a route because it has started on an
+// older copy of the store than its peers have read.
+func TestPlatformStartAfterRestore(t *testing.T) {
+	si := startPlatform(t)
+	added := netip.MustParseAddrPort("198.18.0.9:8443")
+	earlier := si.Store.Copy()
+	si.SetRoutes(append(jpplatform.StandardRoutes(), jpplatform.Route{Address: added, Kind: "safe", Backend: "catalogue"})...)
+	time.Sleep(platformChangeBound)
+	started := si.Instances[0]
+	if err := started.Signal(syscall.SIGKILL); err != nil {
+		t.Fatal(err)
+	}
+	<-started.Done()
+	si.Store.Restore(earlier)
+	if err := si.Start(started); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "instance ready", started.Ready)
+	time.Sleep(platformChangeBound)
+	si.SetRotation(started)
+	openFlows(t, si, added, 9)
+}
+
 // Guards against new flows that fail because a server has crashed, against open flows
 // of a crashed server that are not reset, and against requests that are executed twice.
 func TestPlatformServerFails(t *testing.T) {
