jpdirectory: what a restored store has lost stays in force until it is written again

Callers saw: for up to two seconds after the store's return, flows refused because the entries of servers that came after the copy are missing, new flows at servers that drain or have left, and a data centre that is out in use again. Cause: a full read of the copy replaced what the instance knew, although the operator and the servers write again what was lost.

--- a/core/jpdirectory/directory.go
+++ b/core/jpdirectory/directory.go
@@ -20,11 +20,12 @@
 	revision       Revision
 	purgedRevision Revision  // tombstones up to this revision may have been purged
 	currentAt      time.Time // latest time at which the records were the store's latest
+	unsettled      map[Key]unsettled
 }
 
 // New returns an empty directory.
 func New() *Directory {
-	return &Directory{records: map[Key]Record{}, tombstones: map[Key]time.Time{}}
+	return &Directory{records: map[Key]Record{}, tombstones: map[Key]time.Time{}, unsettled: map[Key]unsettled{}}
 }
 
 // Update holds changes of the store's contents, or all of the contents.
@@ -57,8 +58,9 @@
 	dr.currentAt = dr.currentAt.Add(-uncounted)
 }
 
-// Apply applies an update and returns the records that changed, in order of their
-// revisions. A partial update that starts after the directory's revision must not
+// Apply applies an update and returns the changed records that take effect, in order of
+// their revisions. The first update of a restored store may contradict what is known, where
+// changes were lost; such records take effect later, see Settle. A partial update that starts after the directory's revision must not
 // be applied, because the changes in between would be missing; see Since.
 func (dr *Directory) Apply(now time.Time, up Update) []Record {
 	if up.Revision.Before(dr.revision) {
@@ -67,6 +69,11 @@
 		up.Records = slices.DeleteFunc(slices.Clone(up.Records), func(rc Record) bool { return rc.Manifest == nil })
 		up.Revision, up.Full, up.CurrentAt = dr.revision, false, time.Time{}
 	}
+	restored := dr.Populated() && up.Revision.Era > dr.revision.Era
+	var before map[Key]Record
+	if restored {
+		before = dr.inForce()
+	}
 	var changed []Record
 	contained := map[Key]bool{}
 	for _, rc := range up.Records {
@@ -83,10 +90,20 @@
 		dr.currentAt = up.CurrentAt
 	}
 	dr.purgeTombstones(now)
-	slices.SortFunc(changed, func(a, b Record) int { return a.Revision.Compare(b.Revision) })
+	if restored {
+		changed = dr.keepUnsettled(now, before, changed)
+	}
+	for _, rc := range changed {
+		delete(dr.unsettled, rc.Key)
+	}
+	sortByRevision(changed)
 	return changed
 }
 
+func sortByRevision(records []Record) {
+	slices.SortFunc(records, func(a, b Record) int { return a.Revision.Compare(b.Revision) })
+}
+
 // Ignored returns the records of an update that Apply would ignore although the store should
 // not return them: older ones than are known, and others with a known revision.
 func (dr *Directory) Ignored(up Update) []Record {
--- a/core/jpdirectory/directory_test.go
+++ b/core/jpdirectory/directory_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 
@@ -150,6 +151,96 @@
 	}
 }
 
+// Guards against a restored store that brings back servers that drain or have left, hides
+// servers that have come since the copy, or loses that a data centre is out, until all has
+// been written again.
+func TestUnsettledAfterRestore(t *testing.T) {
+	started := func(rc Record, at time.Time) Record {
+		sr := *rc.Server
+		sr.Started, rc.Server = at, &sr
+		return rc
+	}
+	draining := func(rc Record) Record {
+		sr := *rc.Server
+		sr.Draining, rc.Server = true, &sr
+		return rc
+	}
+	ready, name := server("i-1", 20), "i-1"
+	out := func(out bool) Record {
+		return Record{Key: Key{DataCentreOutRecord, name}, Revision: rv(20), DataCentreOut: out}
+	}
+	rows := []struct {
+		name      string
+		known     []Record // before the store was restored
+		copied    []Record // in the copy
+		rewritten *Record  // a second later
+		atOnce    int      // records that take effect at once,
+		then      int      // with the second update
+		settled   int      // and after rewriteTime
+	}{
+		{"nothing lost", []Record{ready}, []Record{ready}, nil, 1, 0, 0},
+		{"new server", nil, []Record{ready}, nil, 1, 0, 0},
+		{"server starts to drain", []Record{ready}, []Record{draining(ready)}, nil, 1, 0, 0},
+		{"draining is lost", []Record{draining(ready)}, []Record{ready}, nil, 0, 0, 1},
+		{"draining is lost and written again", []Record{draining(ready)}, []Record{ready}, new(draining(ready)), 0, 1, 0},
+		{"process has started again", []Record{draining(ready)}, []Record{started(ready, atSecond(0))}, nil, 1, 0, 0},
+		{"entry is missing", []Record{ready}, nil, nil, 0, 0, 1},
+		{"entry is missing and written again", []Record{ready}, nil, new(ready), 0, 1, 0},
+		{"server that has left", []Record{ready, removal(name, 21)}, []Record{ready}, nil, 0, 0, 1},
+		{"server that has left, removed again", []Record{ready, removal(name, 21)}, []Record{ready}, new(removal(name, 21)), 0, 1, 0},
+		{"out is lost", []Record{out(true)}, nil, nil, 0, 0, 1},
+		{"out is lost and written again", []Record{out(true)}, nil, new(out(true)), 0, 1, 0},
+		{"out is back", []Record{out(true), out(false)}, []Record{out(true)}, nil, 0, 0, 1},
+		{"first out", nil, []Record{out(true)}, nil, 1, 0, 0},
+	}
+	const otherServer = "i-2" // is in force all the time
+	for _, row := range rows {
+		dr := New()
+		for no, rc := range append([]Record{server(otherServer, 1)}, row.known...) {
+			rc.Revision = rv(uint64(10 + no))
+			dr.Apply(atSecond(0), Update{Revision: rc.Revision, Records: []Record{rc}})
+		}
+		later := func(records []Record) []Record {
+			list := slices.Clone(records)
+			for ix := range list {
+				list[ix].Revision.Era = 2
+			}
+			return list
+		}
+		other := server(otherServer, 1)
+		restored := Update{Full: true, Revision: Revision{Era: 2, Number: 20}, Records: later(append(slices.Clone(row.copied), other))}
+		atOnce := len(dr.Apply(atSecond(1), restored)) - 1
+		then := 0
+		if row.rewritten != nil {
+			rc := *row.rewritten
+			rc.Revision = Revision{Era: 2, Number: 21}
+			then = len(dr.Apply(atSecond(2), Update{Revision: rc.Revision, Records: []Record{rc}}))
+		}
+		early := len(dr.Settle(atSecond(1).Add(rewriteTime - 1)))
+		settled := len(dr.Settle(atSecond(1).Add(rewriteTime)))
+		if atOnce != row.atOnce || then != row.then || early != 0 || settled != row.settled {
+			t.Errorf("%s: %d at once, %d then, %d before and %d after the time; want %d, %d, 0, %d",
+				row.name, atOnce, then, early, settled, row.atOnce, row.then, row.settled)
+		}
+	}
+}
+
+// Guards against a server that is used for ever because the store was restored twice.
+func TestUnsettledAfterSecondRestore(t *testing.T) {
+	dr := New()
+	dr.Apply(atSecond(0), Update{Full: true, Revision: rv(10), Records: []Record{server("i-1", 10)}})
+	for era := range uint64(2) {
+		dr.Apply(atSecond(1+int(era)), Update{Full: true, Revision: Revision{Era: 2 + era, Number: 9}})
+	}
+	if early := dr.Settle(atSecond(2).Add(rewriteTime - 1)); len(early) != 0 {
+		t.Errorf("settled %v before the time", early)
+	}
+	settled := dr.Settle(atSecond(2).Add(rewriteTime))
+	if len(settled) != 1 || !settled[0].Removed() || dr.Unsettled() != 0 {
+		t.Errorf("settled %v, %d left; want the removal of i-1", settled, dr.Unsettled())
+	}
+}
+
 // Guards against an instance that serves dropped routes because it has read only a copy of
 // the store, while its peers know a later version.
 func TestManifestOutlivesStore(t *testing.T) {
--- a/io/jpentry/control.go
+++ b/io/jpentry/control.go
@@ -50,6 +50,7 @@
 func (en *Entry) tick(now time.Time) {
 	en.mu.Lock()
 	en.observe(now)
+	en.settle(now)
 	en.updateFreshness(now)
 	resets := en.dispatcher.Tick(now)
 	heartbeats := en.group.Tick(now)
@@ -363,17 +364,29 @@
 	en.applyUpdate(now, du.Update, from)
 }
 
+// settle applies the records of a restored store that nobody has written again in time. The
+// caller holds mu.
+func (en *Entry) settle(now time.Time) {
+	settled := en.directory.Settle(now)
+	if len(settled) == 0 {
+		return
+	}
+	en.dispatcher.Apply(now, settled)
+	en.logRecordChanges(settled, true, "restored store")
+}
+
 // applyUpdate applies an update to the directory and the dispatcher. The caller
 // holds mu.
 func (en *Entry) applyUpdate(now time.Time, up jpdirectory.Update, source string) {
 	known := en.directory.Revision()
 	restored := en.directory.Populated() && up.Revision.Era > known.Era
+	before := en.directory.Manifest()
+	changed := en.directory.Apply(now, up)
 	if restored {
-		klog.InfoS("store: restored", "revision", up.Revision, "known_revision", known, "source", source)
+		klog.InfoS("store: restored", "revision", up.Revision, "known_revision", known, "source", source,
+			"changed", len(changed), "unsettled", en.directory.Unsettled())
 		en.timeline.Add("store", "store_restored", "", source)
 	}
-	before := en.directory.Manifest()
-	changed := en.directory.Apply(now, up)
 	// The dispatcher interprets the changes by the age that its records had
 	// before the update, so the freshness is updated afterwards.
 	en.dispatcher.Apply(now, changed)
--- a/test/platform_test.go
+++ b/test/platform_test.go
@@ -336,6 +336,35 @@
 	openFlows(t, si, added, 9)
 }
 
+// Guards against flows that are refused, or go to a server that drains, because the copy
+// from which the store was restored is older than the entries of servers.
+func TestPlatformServersAfterRestore(t *testing.T) {
+	si := startPlatform(t)
+	draining := si.Servers[0]
+	for _, sr := range si.Servers[1:] {
+		si.RemoveEntry(sr)
+	}
+	earlier := si.Store.Copy()
+	for _, sr := range si.Servers[1:] {
+		si.PutEntry(sr)
+	}
+	si.PutDraining(draining)
+	time.Sleep(platformChangeBound)
+	si.Store.Restore(earlier)
+	opened := draining.FlowCount()
+	for end := time.Now().Add(1500 * time.Millisecond); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		openFlows(t, si, jpplatform.AlertRoute, 1)
+	}
+	for _, key := range si.Store.LostKeys() {
+		si.Store.Rewrite(key)
+	}
+	time.Sleep(platformChangeBound)
+	openFlows(t, si, jpplatform.AlertRoute, 9)
+	if more := draining.FlowCount() - opened; more > 0 {
+		t.Errorf("%d new flows at %s, which was draining before the store was restored", more, draining.ID)
+	}
+}
+
 // Guards against new flows that fail because a server has crashed, against open flows
 // of a crashed server that are not reset, and against requests that are executed twice.
 func TestPlatformServerFails(t *testing.T) {
