jprollout: a change continues from the record in force if the store has lost it

A store that is restored from a copy holds an earlier version; the next change got a version that instances know already, and a text based on the version in force was refused as a conflict for ever. Change: a submitted change carries the record in force at its instance, which takes the place of a stored record of a lower version. Result: TestChangeAfterRestore, which without the change has the edits stay out of force and the text refused.

--- a/core/jpdirectory/directory.go
+++ b/core/jpdirectory/directory.go
@@ -18,9 +18,9 @@
 	records        map[Key]Record
 	tombstones     map[Key]time.Time // when the tombstone may be purged, by key
 	revision       Revision
-	purgedRevision Revision  // tombstones up to this revision may have been purged
-	currentAt      time.Time // latest time at which the records were the store's latest
-	unsettled      map[Key]unsettled
+	purgedRevision Revision          // tombstones up to this revision may have been purged
+	currentAt      time.Time         // latest time at which the records were the store's latest
+	unsettled      map[Key]unsettled // records in force that the restored store contradicts
 }
 
 // New returns an empty directory.
@@ -60,8 +60,9 @@
 
 // Apply applies an update and returns the changed records that take effect, in order of
 // their revisions. The first update of a restored store may contradict what is known, where
-// changes were lost; such records take effect later, see Settle. A partial update that starts after the directory's revision must not
-// be applied, because the changes in between would be missing; see Since.
+// changes were lost; such records take effect later, see Settle. A partial update that
+// starts after the directory's revision must not be applied, because the changes in between
+// would be missing; see Since.
 func (dr *Directory) Apply(now time.Time, up Update) []Record {
 	if up.Revision.Before(dr.revision) {
 		// All changes up to a later revision are known, removals among them that were
--- a/core/jprollout/change.go
+++ b/core/jprollout/change.go
@@ -24,6 +24,10 @@
 	Base  uint64
 	Text  []byte // whole new text, if Edits is empty
 	Edits []Edit
+	// InForce is the record in force at the instance that submits the change. It takes
+	// the place of a stored record of a lower version: the store was restored from a copy
+	// and has lost it, and instances would ignore a version that they know.
+	InForce Record
 }
 
 // Edit sets one key.
@@ -82,6 +86,9 @@
 	if err := ch.Validate(); err != nil {
 		return Record{}, err
 	}
+	if ch.InForce.Version > stored.Version {
+		stored = ch.InForce
+	}
 	anyBase := len(ch.Edits) > 0 && ch.Base == 0
 	if !anyBase && ch.Base != stored.Version {
 		return Record{}, &ConflictError{ch.Base, stored.Version, stored.Author}
--- a/core/jprollout/rollout_test.go
+++ b/core/jprollout/rollout_test.go
@@ -155,6 +155,36 @@
 	}
 }
 
+// TestChangeAfterRestore guards against a confirmed change that never comes into force: after
+// the store was restored from a copy, its version had been given out before.
+func TestChangeAfterRestore(t *testing.T) {
+	record := func(version uint64) Record {
+		return Record{Version: version, Changes: []string{fmt.Sprint("c", version)}, Text: []byte(valid)}
+	}
+	copied, inForce := record(4), record(6)
+	cases := []struct {
+		name   string
+		change Change
+	}{
+		{"edits", Change{Edits: []Edit{{"defaults", "slots", "3"}}}},
+		{"text on the version in force", Change{Base: 6, Text: []byte(valid)}},
+	}
+	for _, tc := range cases {
+		var ro Rollout
+		ro.Offer(time.Time{}, inForce, FromStore)
+		tc.change.ID, tc.change.InForce = "a", ro.Record()
+		next, err := ApplyChange(time.Time{}, copied, tc.change)
+		if err != nil {
+			t.Errorf("%s: %v", tc.name, err)
+			continue
+		}
+		ad := ro.Offer(time.Time{}, next, FromStore)
+		if ad.Kind != Adopted || !slices.Equal(next.Changes, []string{"c6", "a"}) {
+			t.Errorf("%s: version %d with the changes %v: %+v, want it adopted", tc.name, next.Version, next.Changes, ad)
+		}
+	}
+}
+
 // TestResolve guards against a wrong outcome for a write whose response was lost.
 func TestResolve(t *testing.T) {
 	var ids []string
--- a/io/jpinstance/backend.go
+++ b/io/jpinstance/backend.go
@@ -21,7 +21,7 @@
 		if err != nil && !errors.Is(err, jpstore.ErrNoSettings) {
 			return 0, &jpoperator.StoreError{Outcome: jpoperator.NotApplied, Cause: err.Error()}
 		}
-		base = rec.Version
+		base = max(rec.Version, in.recordInForce().Version)
 	}
 	return in.submit(ctx, jprollout.Change{Author: chg.Author, Name: chg.File, Base: base, Text: chg.Text})
 }
@@ -29,7 +29,7 @@
 // submit writes a change to the store and puts the resulting settings in force on
 // this instance.
 func (in *Instance) submit(ctx context.Context, ch jprollout.Change) (uint64, error) {
-	ch.ID = rand.Text()
+	ch.ID, ch.InForce = rand.Text(), in.recordInForce()
 	rec, err := jpstore.Submit(ctx, in.store, ch)
 	if err != nil {
 		return 0, operatorError(err)
@@ -80,11 +80,16 @@
 	return strings.TrimSpace("[" + section + "] " + key)
 }
 
-// Settings returns the settings in force.
-func (in *Instance) Settings(context.Context) (jpoperator.Settings, error) {
+// recordInForce returns the record of the settings in force.
+func (in *Instance) recordInForce() jprollout.Record {
 	in.control.mu.Lock()
 	defer in.control.mu.Unlock()
-	rec := in.control.rollout.Record()
+	return in.control.rollout.Record()
+}
+
+// Settings returns the settings in force.
+func (in *Instance) Settings(context.Context) (jpoperator.Settings, error) {
+	rec := in.recordInForce()
 	return jpoperator.Settings{Version: rec.Version, Author: rec.Author, Text: rec.Text}, nil
 }
 
