jpdispatch: a server that answers keeps its flows although the store lacks its entry

Cause: an entry that lapsed while writes were lost did not come back after the restore (seen for over 8 s). An entry that is missing for 4 s was taken for the end of the server, although it answered checks; and an instance that started in that time had nothing but the store to learn of the server. Change: a server that has left the directory counts as gone only if it has not answered for 1.5 s. Instances ask peers for the servers with unknown tags.

--- a/core/jpdispatch/check_test.go
+++ b/core/jpdispatch/check_test.go
@@ -75,6 +75,25 @@
 		{"entry expired 4 s ago", func(hn *harness, _ Packet, sr Endpoint) {
 			hn.remove(at(-2000), sr.ID)
 		}, true},
+		{"entry expired 4 s ago, but the server answers checks", func(hn *harness, _ Packet, sr Endpoint) {
+			hn.remove(at(-2000), sr.ID)
+			hn.HandleCheckResult(at(1000), at(990), sr, CheckAnswered)
+		}, false},
+		{"entry expired 4 s ago, but the server answers callers", func(hn *harness, syn Packet, sr Endpoint) {
+			hn.remove(at(-2000), sr.ID)
+			for ms := 500; ms <= 1000; ms += 500 {
+				pk := nextPacket(syn, sr.Tag, 0)
+				pk.Ack += uint32(ms)
+				hn.Handle(at(ms), pk)
+			}
+		}, false},
+		{"entry expired 4 s ago, another server answers at its address", func(hn *harness, _ Packet, sr Endpoint) {
+			hn.remove(at(-2000), sr.ID)
+			next := deskServer(7, localDC)
+			next.Address = sr.Address
+			hn.server(at(10), next)
+			hn.HandleCheckResult(at(1000), at(990), sr, CheckAnswered)
+		}, true},
 		{"entry expired 4 s ago while the store was unavailable", func(hn *harness, _ Packet, sr Endpoint) {
 			hn.remove(at(-2000), sr.ID)
 			hn.SetFreshness(at(2000), at(0))
--- /dev/null
+++ b/core/jpdispatch/former.go
@@ -0,0 +1,62 @@
+package jpdispatch
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"jacinthpass/core/jpdirectory"
+)
+
+// maxAskedTags bounds the tags that peers are asked for at a time, because forged packets can
+// carry any tag.
+const maxAskedTags = 64
+
+// UnknownTags returns tags of callers' packets that no known server has, in order. Peers may
+// know servers of which the store has lost the entries.
+func (ds *Dispatcher) UnknownTags() []uint32 {
+	tags := slices.Sorted(maps.Keys(ds.unknownTags))
+	return tags[:min(len(tags), maxAskedTags)]
+}
+
+// ServersOf returns the servers with tags that a peer doesn't know: those in the directory,
+// and those that have left it and still answer.
+func (ds *Dispatcher) ServersOf(now time.Time, tags []uint32) []jpdirectory.Server {
+	var list []jpdirectory.Server
+	for _, tag := range tags {
+		if sr := ds.serversByTag[tag]; sr != nil && (sr.present || ds.answers(now, sr)) {
+			list = append(list, sr.cfg)
+		}
+	}
+	return list
+}
+
+// AddFormer adds servers that a peer knows and the directory lacks. Like servers that have
+// left the directory, they get the packets of their open flows and no new flows. It returns
+// the ids of those that were added.
+func (ds *Dispatcher) AddFormer(now time.Time, servers []jpdirectory.Server) []string {
+	var added []string
+	for _, cfg := range servers {
+		sr := newServer(cfg)
+		if ds.servers[cfg.ID] != nil || ds.serversByTag[sr.tag] != nil {
+			continue
+		}
+		ds.arrivals++
+		sr.arrival, sr.arrivedAt = ds.arrivals, now
+		sr.markLeft(now, now)
+		ds.servers[cfg.ID], ds.serversByTag[sr.tag] = sr, sr
+		delete(ds.unknownTags, sr.tag)
+		added = append(added, cfg.ID)
+	}
+	return added
+}
+
+// answers reports whether a server that left the directory has answered recently, and no
+// other one can have answered in its place.
+func (ds *Dispatcher) answers(now time.Time, sr *server) bool {
+	return !ds.addressTaken(sr) && now.Sub(sr.aliveAt) < lifeSignTTL
+}
+
+// lifeSignTTL is for how long an answer shows that a server without an entry still runs. It
+// is checked every checkInterval while it has flows; the check may be late by a few ticks.
+const lifeSignTTL = checkInterval + 500*time.Millisecond
--- a/core/jpdispatch/handle.go
+++ b/core/jpdispatch/handle.go
@@ -274,12 +274,13 @@
 }
 
 // permanentlyGone reports whether a server that left the directory can't continue
-// a flow that this instance first saw at firstSeenAt.
+// a flow that this instance first saw at firstSeenAt. One that still answers can, although
+// the store has lost its entry.
 func (ds *Dispatcher) permanentlyGone(now time.Time, sr *server, firstSeenAt time.Time) bool {
 	if sr.silentFor(now, firstSeenAt) || now.Sub(sr.leftAt) >= tagRetention {
 		return true
 	}
-	return ds.absentSince(now, sr.leftAt)
+	return ds.absentSince(now, sr.leftAt) && !ds.answers(now, sr)
 }
 
 // observe updates the state of the server from a packet of the caller: an
--- a/io/jpentry/control.go
+++ b/io/jpentry/control.go
@@ -27,6 +27,10 @@
 	// trafficLogInterval separates the log lines on the traffic to peers.
 	trafficLogInterval = 10 * time.Second
 
+	// tagRequestInterval is the minimum time between two requests for the servers with
+	// unknown tags. Callers repeat lost packets after 200 ms.
+	tagRequestInterval = 200 * time.Millisecond
+
 	// statusMaxAge is how long a peer's status is used: three intervals.
 	statusMaxAge = 3 * statusInterval
 )
@@ -252,8 +256,11 @@
 	case jppeer.DirectoryRequest:
 		en.mu.Lock()
 		update := en.directory.Since(ms.Progress)
+		servers := en.dispatcher.ServersOf(now, ms.UnknownTags)
 		en.mu.Unlock()
-		en.sendToPeer(from, jppeer.DirectoryUpdate{SinceRevision: ms.Progress.Revision, Update: update, SentAt: now.Sub(en.started), ReferenceTime: now})
+		en.sendToPeer(from, jppeer.DirectoryUpdate{
+			SinceRevision: ms.Progress.Revision, Update: update, Servers: servers, SentAt: now.Sub(en.started), ReferenceTime: now,
+		})
 	case jppeer.DirectoryUpdate:
 		en.handleUpdate(now, from, ms)
 	case jppeer.EventsRequest:
@@ -333,20 +340,29 @@
 }
 
 // requestUpdate requests an update from a peer with a newer directory, if there
-// is one. It is called when a packet carries a tag that no known server has.
+// is one, or otherwise the servers with unknown tags from any one of this data centre.
+// It is called when a packet carries a tag that no known server has.
 func (en *Entry) requestUpdate(now time.Time) {
 	en.mu.Lock()
 	progress := en.directory.Progress()
-	peer := ""
+	tags := en.dispatcher.UnknownTags()
+	peer, tagPeer := "", ""
 	for id, ps := range en.statuses {
-		if en.requestLimiter.Allow(now, progress, ps.progress, en.inDataCentre(id)) {
+		local := en.inDataCentre(id)
+		if en.requestLimiter.Allow(now, progress, ps.progress, local) {
 			peer = id
 			break
 		}
+		if local {
+			tagPeer = id // map iteration selects another one each time
+		}
+	}
+	if peer == "" && !now.Before(en.nextTagRequest) {
+		peer, en.nextTagRequest = tagPeer, now.Add(tagRequestInterval)
 	}
 	en.mu.Unlock()
 	if peer != "" {
-		en.sendToPeer(peer, jppeer.DirectoryRequest{Progress: progress})
+		en.sendToPeer(peer, jppeer.DirectoryRequest{Progress: progress, UnknownTags: tags})
 	}
 }
 
@@ -362,6 +378,9 @@
 		return // changes between the directory's revision and SinceRevision are missing
 	}
 	en.applyUpdate(now, du.Update, from)
+	for _, id := range en.dispatcher.AddFormer(now, du.Servers) {
+		klog.InfoS("directory: former server", "server", id, "revision", en.directory.Revision(), "source", from)
+	}
 }
 
 // settle applies the records of a restored store that nobody has written again in time. The
--- a/io/jpentry/entry.go
+++ b/io/jpentry/entry.go
@@ -76,6 +76,7 @@
 	nextStatus     time.Time                    // when the next status is due
 	statusProgress jpdirectory.Progress         // progress in the last status sent to peers
 	requestLimiter *jpdirectory.RequestLimiter
+	nextTagRequest time.Time // earliest next request for servers with unknown tags
 	watchDuty      *jpdirectory.WatchDuty
 	held           jpdispatch.HoldQueue[heldPacket] // packets received before the directory had a manifest
 	waiting        map[jpdispatch.FlowKey][]byte    // SYNs of the flows that wait in the dispatcher
--- a/io/jppeer/directory.go
+++ b/io/jppeer/directory.go
@@ -25,9 +25,11 @@
 	SilentServers []string // ids of servers whose latest check failed
 }
 
-// DirectoryRequest asks for what a directory with a progress lacks.
+// DirectoryRequest asks for what a directory with a progress lacks, and for the servers with
+// tags that no server in it has.
 type DirectoryRequest struct {
-	Progress jpdirectory.Progress
+	Progress    jpdirectory.Progress
+	UnknownTags []uint32
 }
 
 // DirectoryUpdate is the response to a DirectoryRequest. SinceRevision is the
@@ -36,8 +38,9 @@
 type DirectoryUpdate struct {
 	SinceRevision jpdirectory.Revision
 	Update        jpdirectory.Update
-	SentAt        time.Duration // since the sender's start, see jpdirectory.Transits
-	ReferenceTime time.Time     // time of sending at the sender, of decoding at the receiver
+	Servers       []jpdirectory.Server // with the tags of the request
+	SentAt        time.Duration        // since the sender's start, see jpdirectory.Transits
+	ReferenceTime time.Time            // time of sending at the sender, of decoding at the receiver
 }
 
 type wireRevision struct {
@@ -74,8 +77,9 @@
 }
 
 type wireDirectoryRequest struct {
-	_        struct{} `cbor:",toarray"`
-	Progress wireProgress
+	_           struct{} `cbor:",toarray"`
+	Progress    wireProgress
+	UnknownTags []uint32
 }
 
 type wireDirectoryUpdate struct {
@@ -86,6 +90,7 @@
 	SentAt        int64 // ns
 	Age           int64 // ns
 	Records       []wireRecord
+	Servers       []wireServer
 }
 
 type wireRecord struct {
@@ -215,6 +220,9 @@
 	for _, rc := range du.Update.Records {
 		wire.Records = append(wire.Records, recordToWire(rc, du.ReferenceTime))
 	}
+	for _, sr := range du.Servers {
+		wire.Servers = append(wire.Servers, *serverToWire(&sr, du.ReferenceTime))
+	}
 	return wire
 }
 
@@ -231,6 +239,9 @@
 		}
 		du.Update.Records = append(du.Update.Records, rc)
 	}
+	for _, ws := range wire.Servers {
+		du.Servers = append(du.Servers, *serverFromWire(&ws, now))
+	}
 	return du, nil
 }
 
@@ -242,13 +253,7 @@
 		wire.Manifest = manifestToWire(mf)
 	}
 	if sr := rc.Server; sr != nil {
-		wire.Server = &wireServer{
-			ID: sr.ID, Number: sr.Number, Service: sr.Service, Address: sr.Address, DataCentre: sr.DataCentre,
-			Slots: sr.Slots, Draining: sr.Draining, ColdLeft: int64(max(sr.WarmAt.Sub(now), 0)),
-		}
-		if !sr.Started.IsZero() {
-			wire.Server.Started = sr.Started.UnixMilli()
-		}
+		wire.Server = serverToWire(sr, now)
 	}
 	if in := rc.Instance; in != nil {
 		wire.Instance = &wireInstance{ID: in.ID, DataCentre: in.DataCentre, Peer: in.Peer}
@@ -269,13 +274,7 @@
 		rc.Manifest = manifestFromWire(wire.Manifest)
 	}
 	if ws := wire.Server; ws != nil {
-		rc.Server = &jpdirectory.Server{
-			ID: ws.ID, Number: ws.Number, Service: ws.Service, Address: ws.Address, DataCentre: ws.DataCentre,
-			Slots: ws.Slots, Draining: ws.Draining, WarmAt: now.Add(time.Duration(ws.ColdLeft)),
-		}
-		if ws.Started != 0 {
-			rc.Server.Started = time.UnixMilli(ws.Started)
-		}
+		rc.Server = serverFromWire(ws, now)
 	}
 	if wi := wire.Instance; wi != nil {
 		rc.Instance = &jpdirectory.Instance{ID: wi.ID, DataCentre: wi.DataCentre, Peer: wi.Peer}
@@ -283,6 +282,28 @@
 	return rc, nil
 }
 
+func serverToWire(sr *jpdirectory.Server, now time.Time) *wireServer {
+	wire := &wireServer{
+		ID: sr.ID, Number: sr.Number, Service: sr.Service, Address: sr.Address, DataCentre: sr.DataCentre,
+		Slots: sr.Slots, Draining: sr.Draining, ColdLeft: int64(max(sr.WarmAt.Sub(now), 0)),
+	}
+	if !sr.Started.IsZero() {
+		wire.Started = sr.Started.UnixMilli()
+	}
+	return wire
+}
+
+func serverFromWire(wire *wireServer, now time.Time) *jpdirectory.Server {
+	sr := &jpdirectory.Server{
+		ID: wire.ID, Number: wire.Number, Service: wire.Service, Address: wire.Address, DataCentre: wire.DataCentre,
+		Slots: wire.Slots, Draining: wire.Draining, WarmAt: now.Add(time.Duration(wire.ColdLeft)),
+	}
+	if wire.Started != 0 {
+		sr.Started = time.UnixMilli(wire.Started)
+	}
+	return sr
+}
+
 func manifestToWire(mf *jpdirectory.Manifest) *wireManifest {
 	wire := &wireManifest{
 		Version: mf.Version, IdleTimeout: int64(mf.IdleTimeout),
--- a/io/jppeer/frame.go
+++ b/io/jppeer/frame.go
@@ -108,7 +108,7 @@
 	case DirectoryStatus:
 		return typeDirectoryStatus, directoryStatusToWire(msg), nil
 	case DirectoryRequest:
-		return typeDirectoryRequest, wireDirectoryRequest{Progress: progressToWire(msg.Progress)}, nil
+		return typeDirectoryRequest, wireDirectoryRequest{Progress: progressToWire(msg.Progress), UnknownTags: msg.UnknownTags}, nil
 	case DirectoryUpdate:
 		return typeDirectoryUpdate, directoryUpdateToWire(msg), nil
 	}
@@ -157,7 +157,7 @@
 		return fromWire(env.Body, directoryStatusFromWire)
 	case typeDirectoryRequest:
 		return fromWire(env.Body, func(wr wireDirectoryRequest) (DirectoryRequest, error) {
-			return DirectoryRequest{Progress: progressFromWire(wr.Progress)}, nil
+			return DirectoryRequest{Progress: progressFromWire(wr.Progress), UnknownTags: wr.UnknownTags}, nil
 		})
 	case typeDirectoryUpdate:
 		return fromWire(env.Body, directoryUpdateFromWire)
--- a/io/jppeer/frame_test.go
+++ b/io/jppeer/frame_test.go
@@ -54,7 +54,7 @@
 func sampleDirectoryMessages() []any {
 	return []any{
 		DirectoryStatus{Progress: jpdirectory.Progress{Revision: jpdirectory.Revision{Number: 7}}, Age: time.Second, StoreUptime: time.Minute, Loads: []jpdispatch.Load{{Tag: 1 << 31, Flows: 3, Held: 9, Requests: 1.25, Speed: jpspeed.Summary{Slowness: 3.5, Samples: 12}}}, SilentServers: []string{"i-2"}},
-		DirectoryRequest{Progress: jpdirectory.Progress{Revision: jpdirectory.Revision{Number: 6}}},
+		DirectoryRequest{Progress: jpdirectory.Progress{Revision: jpdirectory.Revision{Era: 2, Number: 6}, ManifestVersion: 9}, UnknownTags: []uint32{7}},
 	}
 }
 
