jpentry: all neighbours are asked for the servers of unknown tags

Cause: the instances of a data centre had restarted one after the other, so that none of them knew the server whose entry the store lacked; those of others did. A peer also named only servers that it had checked itself. Change: an instance asks all neighbours, at most twice a second; a peer names every server it knows that is not silent or replaced, and the one that asks checks it.

--- a/core/jpdispatch/check_test.go
+++ b/core/jpdispatch/check_test.go
@@ -84,7 +84,7 @@
 			for ms := 500; ms <= 1000; ms += 500 {
 				pk := nextPacket(syn, sr.Tag, 0)
 				pk.Ack += uint32(ms)
-				hn.Handle(at(ms), pk)
+				hn.wantDecision(hn.Handle(at(ms), pk), Forward, Known)
 			}
 		}, false},
 		{"entry expired 4 s ago, another server answers at its address", func(hn *harness, _ Packet, sr Endpoint) {
--- a/core/jpdispatch/former.go
+++ b/core/jpdispatch/former.go
@@ -19,12 +19,12 @@
 	return tags[:min(len(tags), maxAskedTags)]
 }
 
-// ServersOf returns the servers with tags that a peer doesn't know: those in the directory,
-// and those that have left it and still answer.
-func (ds *Dispatcher) ServersOf(now time.Time, tags []uint32) []jpdirectory.Server {
+// ServersOf returns the servers with tags that a peer doesn't know, also those that have left
+// the directory: the peer checks them when it has flows of them.
+func (ds *Dispatcher) ServersOf(tags []uint32) []jpdirectory.Server {
 	var list []jpdirectory.Server
 	for _, tag := range tags {
-		if sr := ds.serversByTag[tag]; sr != nil && (sr.present || ds.answers(now, sr)) {
+		if sr := ds.serversByTag[tag]; sr != nil && (sr.present || !sr.silent && !ds.addressTaken(sr)) {
 			list = append(list, sr.cfg)
 		}
 	}
--- a/core/jpdispatch/former_test.go
+++ b/core/jpdispatch/former_test.go
@@ -17,7 +17,10 @@
 		{"answers", func(peer *harness, sr Endpoint) {
 			peer.HandleCheckResult(at(5000), at(4990), sr, CheckAnswered)
 		}, true},
-		{"doesn't answer", func(*harness, Endpoint) {}, false},
+		{"was not checked", func(*harness, Endpoint) {}, true},
+		{"doesn't answer", func(peer *harness, sr Endpoint) {
+			peer.HandleCheckResult(at(5000), at(4990), sr, CheckTimedOut)
+		}, false},
 		{"another server has its address", func(peer *harness, sr Endpoint) {
 			peer.HandleCheckResult(at(5000), at(4990), sr, CheckAnswered)
 			next := deskServer(7, localDC)
@@ -36,7 +39,7 @@
 		started.newSYN() // has the caller's port of the peer's flow
 		packet := nextPacket(syn, sr.Tag, 500)
 		started.wantDecision(started.Handle(at(5000), packet), Drop, UnknownTag)
-		servers := peer.ServersOf(at(5100), started.UnknownTags())
+		servers := peer.ServersOf(started.UnknownTags())
 		if len(servers) > 0 != row.known {
 			t.Errorf("%s: the peer names %v, want a server: %t", row.name, servers, row.known)
 		}
--- a/io/jpentry/control.go
+++ b/io/jpentry/control.go
@@ -27,9 +27,9 @@
 	// trafficLogInterval separates the log lines on the traffic to peers.
 	trafficLogInterval = 10 * time.Second
 
-	// tagRequestInterval is the minimum time between two requests for the servers with
-	// unknown tags. Callers repeat lost packets after 200 ms.
-	tagRequestInterval = 200 * time.Millisecond
+	// tagRequestInterval is the minimum time between two requests to neighbours for the
+	// servers with unknown tags. Callers repeat lost packets for longer.
+	tagRequestInterval = 500 * time.Millisecond
 
 	// statusMaxAge is how long a peer's status is used: three intervals.
 	statusMaxAge = 3 * statusInterval
@@ -256,7 +256,7 @@
 	case jppeer.DirectoryRequest:
 		en.mu.Lock()
 		update := en.directory.Since(ms.Progress)
-		servers := en.dispatcher.ServersOf(now, ms.UnknownTags)
+		servers := en.dispatcher.ServersOf(ms.UnknownTags)
 		en.mu.Unlock()
 		en.sendToPeer(from, jppeer.DirectoryUpdate{
 			SinceRevision: ms.Progress.Revision, Update: update, Servers: servers, SentAt: now.Sub(en.started), ReferenceTime: now,
@@ -340,29 +340,26 @@
 }
 
 // requestUpdate requests an update from a peer with a newer directory, if there
-// is one, or otherwise the servers with unknown tags from any one of this data centre.
-// It is called when a packet carries a tag that no known server has.
+// is one, or otherwise the servers with unknown tags from all neighbours: others may have
+// started as recently as this instance. It is called when a packet carries a tag that no
+// known server has.
 func (en *Entry) requestUpdate(now time.Time) {
 	en.mu.Lock()
-	progress := en.directory.Progress()
-	tags := en.dispatcher.UnknownTags()
-	peer, tagPeer := "", ""
+	request := jppeer.DirectoryRequest{Progress: en.directory.Progress()}
+	var peers []string
 	for id, ps := range en.statuses {
-		local := en.inDataCentre(id)
-		if en.requestLimiter.Allow(now, progress, ps.progress, local) {
-			peer = id
+		if en.requestLimiter.Allow(now, request.Progress, ps.progress, en.inDataCentre(id)) {
+			peers = []string{id}
 			break
 		}
-		if local {
-			tagPeer = id // map iteration selects another one each time
-		}
 	}
-	if peer == "" && !now.Before(en.nextTagRequest) {
-		peer, en.nextTagRequest = tagPeer, now.Add(tagRequestInterval)
+	if len(peers) == 0 && !now.Before(en.nextTagRequest) {
+		en.nextTagRequest = now.Add(tagRequestInterval)
+		peers, request.UnknownTags = slices.Collect(maps.Keys(en.statuses)), en.dispatcher.UnknownTags()
 	}
 	en.mu.Unlock()
-	if peer != "" {
-		en.sendToPeer(peer, jppeer.DirectoryRequest{Progress: progress, UnknownTags: tags})
+	for _, id := range peers {
+		en.sendToPeer(id, request)
 	}
 }
 
