test: the soak restores the store from a copy

Cause: no test of ours had a store that loses acknowledged writes. Change: beside its other faults the soak restores the store twice from a copy up to 2.8 s old, and writes the lost keys again within 2 s; at the end a route is added and removed, and must be served and refused within the bound.

--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -101,6 +101,7 @@
 		so.updateRotation()
 	}()
 	workers.Go(so.overload)
+	so.faults.Go(func() { so.restoreStore(rand.New(rand.NewPCG(seed, 2))) })
 	writer := rand.New(rand.NewPCG(seed, 1))
 	for end := now.Add(soakFaultDuration); time.Now().Before(end); {
 		so.injectFault()
@@ -110,6 +111,7 @@
 	so.faults.Wait()
 	so.checkRecovery()
 	so.checkDrain()
+	so.checkRouteChange()
 	close(so.stop)
 	workers.Wait()
 	<-rotation
