jpdirectory: a directory that was filled at once has no tombstones from before

Callers saw nothing yet: found by TestExchangeConverges, which now restores the store in between. Cause: a full read contains no removals. A peer that was behind it got only the changes that the directory knew, and kept a server that had been removed before the read, for as long as that peer read nothing in full. It needs no restore of the store, but each restore makes every instance read in full. Change: tombstones up to the revision of a full update count as missing, so that peers behind it get all records. Result: TestExchangeConverges and TestSinceAfterFullRead failed before (a server kept) and pass.

--- a/core/jpdirectory/directory.go
+++ b/core/jpdirectory/directory.go
@@ -18,7 +18,7 @@
 	records        map[Key]Record
 	tombstones     map[Key]time.Time // when the tombstone may be purged, by key
 	revision       Revision
-	purgedRevision Revision          // tombstones up to this revision may have been purged
+	purgedRevision Revision          // tombstones up to this revision may be missing
 	currentAt      time.Time         // latest time at which the records were the store's latest
 	unsettled      map[Key]unsettled // records in force that the restored store contradicts
 }
@@ -84,6 +84,8 @@
 		}
 	}
 	if up.Full {
+		// It has no tombstones of keys that this directory never knew.
+		dr.purgedRevision = latest(dr.purgedRevision, up.Revision)
 		changed = append(changed, dr.removeMissing(now, up.Revision, contained)...)
 	}
 	dr.revision = up.Revision
@@ -207,7 +209,7 @@
 
 // Since returns what a directory with a progress lacks. The update is full if its revision
 // is zero or of an earlier era, of which the store has lost changes, or if tombstones after
-// it may have been purged.
+// it may be missing.
 func (dr *Directory) Since(known Progress) Update {
 	revision := known.Revision
 	up := Update{Revision: dr.revision, CurrentAt: dr.currentAt}
--- a/core/jpdirectory/directory_test.go
+++ b/core/jpdirectory/directory_test.go
@@ -290,6 +290,18 @@
 	}
 }
 
+// Guards against a peer that uses a server for ever because a directory that was filled
+// after the removal doesn't know of it.
+func TestSinceAfterFullRead(t *testing.T) {
+	started, peer := New(), New()
+	peer.Apply(atSecond(0), Update{Revision: rv(11), Records: []Record{server("i-1", 11)}})
+	started.Apply(atSecond(1), Update{Full: true, Revision: rv(12)})
+	peer.Apply(atSecond(1), started.Since(peer.Progress()))
+	if rc := peer.Record(Key{ServerRecord, "i-1"}); !rc.Removed() {
+		t.Errorf("record %+v at revision %v, want none", rc, peer.Revision())
+	}
+}
+
 // Guards against a directory that is taken for up to date without proof.
 func TestCurrent(t *testing.T) {
 	dr := New()
@@ -306,22 +318,35 @@
 }
 
 // Guards against directories that stay different: whichever parts of the store's
-// history two instances have seen, one exchange in each direction makes them equal.
+// history two instances have seen, before or after it was restored from a copy, one
+// exchange in each direction makes them equal.
 func TestExchangeConverges(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		var history []Record
-		for revision := range rapid.IntRange(1, 30).Draw(t, "changes") {
-			id := fmt.Sprint("i-", rapid.IntRange(0, 4).Draw(t, "server"))
-			rc := server(id, uint64(revision+1))
-			if rapid.Bool().Draw(t, "removed") {
-				rc = removal(id, uint64(revision+1))
+		draw := func(name string, era, from uint64) []Record {
+			var history []Record
+			for ix := range uint64(rapid.IntRange(1, 30).Draw(t, name)) {
+				id := fmt.Sprint("i-", rapid.IntRange(0, 4).Draw(t, "server"))
+				rc := server(id, 0)
+				if rapid.Bool().Draw(t, "removed") {
+					rc = removal(id, 0)
+				}
+				rc.Revision = Revision{Era: era, Number: from + ix + 1}
+				history = append(history, rc)
 			}
-			history = append(history, rc)
+			return history
 		}
+		first := draw("changes", 1, 0)
+		copied := rapid.IntRange(0, len(first)).Draw(t, "copied")
+		second := draw("changes after the restore", 2, uint64(copied))
 		one, two := New(), New()
 		for _, dr := range []*Directory{one, two} {
-			seen := rapid.IntRange(0, len(history)).Draw(t, "seen")
-			dr.Apply(atSecond(0), Update{Records: history[:seen], Revision: rv(uint64(seen))})
+			seen := rapid.IntRange(0, len(first)).Draw(t, "seen")
+			dr.Apply(atSecond(0), Update{Records: first[:seen], Revision: rv(uint64(seen))})
+			if !rapid.Bool().Draw(t, "seen after the restore") {
+				continue
+			}
+			seen = rapid.IntRange(0, len(second)).Draw(t, "changes seen after the restore")
+			dr.Apply(atSecond(1), fullRead(slices.Concat(first[:copied], second[:seen]), Revision{Era: 2, Number: uint64(copied + seen)}))
 		}
 		before := one.Revision()
 		one.Apply(atSecond(1), two.Since(one.Progress()))
@@ -343,3 +368,20 @@
 		}
 	})
 }
+
+// fullRead returns an update with the latest record of each key of a history, as the store
+// returns them at a revision: all of its era.
+func fullRead(history []Record, revision Revision) Update {
+	latest := map[Key]Record{}
+	for _, rc := range history {
+		rc.Revision.Era = revision.Era
+		latest[rc.Key] = rc
+	}
+	up := Update{Full: true, Revision: revision}
+	for _, rc := range latest {
+		if !rc.Removed() {
+			up.Records = append(up.Records, rc)
+		}
+	}
+	return up
+}
