jpdispatch: a flow that has just come is not reset before its server was checked

Cause: the store had lost the server's entry, and an instance without flows of a server doesn't check it, so there was no sign of life yet. Change: the server counts as gone only once the flow has been here for 1.5 s, in which it is checked; a failed check still resets at once. Result: TestFlowComesToInstanceWithoutFlows failed before and passes.

--- a/core/jpdispatch/former.go
+++ b/core/jpdispatch/former.go
@@ -51,10 +51,12 @@
 	return added
 }
 
-// answers reports whether a server that left the directory has answered recently, and no
-// other one can have answered in its place.
-func (ds *Dispatcher) answers(now time.Time, sr *server) bool {
-	return !ds.addressTaken(sr) && now.Sub(sr.aliveAt) < lifeSignTTL
+// mayStillRun reports whether a server that left the directory may still run for a flow that
+// this instance first saw at firstSeenAt: it has answered recently, or was perhaps not
+// checked yet, because this instance had no flows of it. No other server must have its
+// address, whose answers would look like its own.
+func (ds *Dispatcher) mayStillRun(now time.Time, sr *server, firstSeenAt time.Time) bool {
+	return !ds.addressTaken(sr) && (now.Sub(sr.aliveAt) < lifeSignTTL || now.Sub(firstSeenAt) < lifeSignTTL)
 }
 
 // lifeSignTTL is for how long an answer shows that a server without an entry still runs. It
--- a/core/jpdispatch/former_test.go
+++ b/core/jpdispatch/former_test.go
@@ -78,3 +78,24 @@
 		t.Errorf("added %v, which the directory contains", added)
 	}
 }
+
+// Guards against an open flow that is reset by the first instance that its packets come to
+// after the store has lost the entry of its server: one without flows of a server doesn't
+// check it.
+func TestFlowComesToInstanceWithoutFlows(t *testing.T) {
+	peer := newHarness(t, deskServer(1, localDC))
+	syn, sr := peer.open(at(0))
+	hn := newHarness(t, deskServer(1, localDC))
+	hn.newSYN() // has the caller's port of the peer's flow
+	hn.remove(at(0), sr.ID)
+	hn.setFresh(at(10000))
+	hn.wantDecision(hn.Handle(at(10000), nextPacket(syn, sr.Tag, 500)), Forward, Tagged)
+	hn.HandleCheckResult(at(10150), at(10140), sr, CheckAnswered)
+	if resets := hn.runTicks(at(10100), at(11600)); len(resets) > 0 {
+		t.Errorf("resets %v although the server answers checks", resets)
+	}
+	hn.setFresh(at(12000))
+	if resets := hn.runTicks(at(11700), at(12000)); len(resets) != 1 {
+		t.Errorf("resets %v after the server has ceased to answer, want one", resets)
+	}
+}
--- a/core/jpdispatch/handle.go
+++ b/core/jpdispatch/handle.go
@@ -280,7 +280,7 @@
 	if sr.silentFor(now, firstSeenAt) || now.Sub(sr.leftAt) >= tagRetention {
 		return true
 	}
-	return ds.absentSince(now, sr.leftAt) && !ds.answers(now, sr)
+	return ds.absentSince(now, sr.leftAt) && !ds.mayStillRun(now, sr, firstSeenAt)
 }
 
 // observe updates the state of the server from a packet of the caller: an
